--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,34 +15,34 @@
 	"gotest.tools/v3/assert"
 
 	platformpb "skylarkhinge.dev/skylarkhinge/api/platform/v1"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // memoryStore keeps one entry. err replaces the answers of changes.
 type memoryStore struct {
-	platform.Store
-	entry   platform.Entry
+	metastore.Store
+	entry   metastore.Entry
 	err     error
 	readErr error
 }
 
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *memoryStore) Get(_ context.Context, key string) (metastore.Entry, error) {
 	if s.entry.Key != key {
-		return platform.Entry{Key: key}, s.readErr
+		return metastore.Entry{Key: key}, s.readErr
 	}
 	return s.entry, s.readErr
 }
 
-func (s *memoryStore) CompareAndSwap(_ context.Context, key string, expected uint64, value []byte) (platform.Swap, error) {
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, expected uint64, value []byte) (metastore.Swap, error) {
 	if s.err != nil {
 		s.readErr = s.err
-		return platform.Swap{}, s.err
+		return metastore.Swap{}, s.err
 	}
 	swapped := s.entry.Revision == expected
 	if swapped {
-		s.entry = platform.Entry{Key: key, Value: value, Revision: expected + 1}
+		s.entry = metastore.Entry{Key: key, Value: value, Revision: expected + 1}
 	}
-	return platform.Swap{Swapped: swapped, Entry: s.entry}, nil
+	return metastore.Swap{Swapped: swapped, Entry: s.entry}, nil
 }
 
 // runner runs commands against one store.
@@ -50,7 +50,7 @@
 	store          *memoryStore
 	stdin          string
 	stdout, stderr bytes.Buffer
-	options        platform.Options
+	options        metastore.Options
 }
 
 func (r *runner) run(t *testing.T, line string) int {
@@ -58,7 +58,7 @@
 	r.stdout.Reset()
 	r.stderr.Reset()
 	env := &Environment{Stdin: strings.NewReader(r.stdin), Stdout: &r.stdout, Stderr: &r.stderr}
-	env.Connect = func(options platform.Options) (platform.Store, func(), error) {
+	env.Connect = func(options metastore.Options) (metastore.Store, func(), error) {
 		r.options = options
 		return r.store, func() {}, nil
 	}
@@ -114,7 +114,7 @@
 func TestUnknownOutcome(t *testing.T) {
 	r := &runner{store: &memoryStore{}, stdin: shop(t)}
 	r.store.err = oops.With("step", "compare_and_swap", "peer", "127.0.0.1:1").Wrap(
-		errors.Join(platform.ErrUnknownOutcome, errors.New("two\nlines")))
+		errors.Join(metastore.ErrUnknownOutcome, errors.New("two\nlines")))
 	assert.Equal(t, r.run(t, "document put - --from=0 --timeout=50ms"+flags), ExitUnknown)
 	lines := strings.Split(r.stderr.String(), "\n")
 	assert.Equal(t, len(lines), 3)
--- a/internal/cli/connect.go
+++ b/internal/cli/connect.go
@@ -12,15 +12,15 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"skylarkhinge.dev/skylarkhinge/config"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // Connect returns the platform's store and the function that closes it.
-type Connect func(options platform.Options) (store platform.Store, closeStore func(), err error)
+type Connect func(options metastore.Options) (store metastore.Store, closeStore func(), err error)
 
 // ConnectGRPC connects to the platform's gRPC service.
-func ConnectGRPC(options platform.Options) (platform.Store, func(), error) {
-	client, err := platform.NewClient(options)
+func ConnectGRPC(options metastore.Options) (metastore.Store, func(), error) {
+	client, err := metastore.NewClient(options)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -45,21 +45,21 @@
 }
 
 // options returns the connection's options from the flags or the settings file.
-func (f *platformFlags) options(env *Environment) (platform.Options, error) {
+func (f *platformFlags) options(env *Environment) (metastore.Options, error) {
 	for _, address := range f.addresses {
 		if _, err := netip.ParseAddrPort(address); err != nil {
-			return platform.Options{}, &ExitError{Code: ExitUsage, Err: fmt.Errorf("--platform is %q, allowed: an IP address with a port", address)}
+			return metastore.Options{}, &ExitError{Code: ExitUsage, Err: fmt.Errorf("--platform is %q, allowed: an IP address with a port", address)}
 		}
 	}
 	if len(f.addresses) > 0 {
-		return platform.DefaultOptions(f.addresses), nil
+		return metastore.DefaultOptions(f.addresses), nil
 	}
 	if f.settings == "" {
-		return platform.Options{}, &ExitError{Code: ExitUsage, Err: errors.New("either --platform or --settings is required")}
+		return metastore.Options{}, &ExitError{Code: ExitUsage, Err: errors.New("either --platform or --settings is required")}
 	}
 	settings, err := readSettings(env, f.settings)
 	if err != nil {
-		return platform.Options{}, err
+		return metastore.Options{}, err
 	}
 	return optionsOf(settings), nil
 }
@@ -73,8 +73,8 @@
 }
 
 // optionsOf returns the options of the platform connection that settings ask for.
-func optionsOf(settings *config.Settings) platform.Options {
-	options := platform.DefaultOptions(settings.PlatformAddresses)
+func optionsOf(settings *config.Settings) metastore.Options {
+	options := metastore.DefaultOptions(settings.PlatformAddresses)
 	options.CallTimeout = settings.PlatformTimeout.Std()
 	return options
 }
--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -14,7 +14,7 @@
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/docs/schemas"
 	"skylarkhinge.dev/skylarkhinge/internal/documents"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 func addDocument(r *Registry) {
@@ -32,7 +32,7 @@
 }
 
 // withStore runs a function with the store that the flags name.
-func withStore(ctx context.Context, env *Environment, flags *platformFlags, run func(context.Context, platform.Store) error) error {
+func withStore(ctx context.Context, env *Environment, flags *platformFlags, run func(context.Context, metastore.Store) error) error {
 	options, err := flags.options(env)
 	if err != nil {
 		return err
@@ -92,7 +92,7 @@
 	number := command.Flag("revision", "Print this revision, if it is still kept, instead of the one in force.").Uint64()
 	flags := addPlatformFlags(command)
 	r.Add(command, func(ctx context.Context) error {
-		return withStore(ctx, r.Env, flags, func(ctx context.Context, store platform.Store) error {
+		return withStore(ctx, r.Env, flags, func(ctx context.Context, store metastore.Store) error {
 			revisions, err := documents.History(ctx, store, *service)
 			if err != nil {
 				return err
@@ -135,7 +135,7 @@
 		if err != nil {
 			return err
 		}
-		return withStore(ctx, r.Env, flags, func(ctx context.Context, store platform.Store) error {
+		return withStore(ctx, r.Env, flags, func(ctx context.Context, store metastore.Store) error {
 			options := documents.DefaultOptions(*author, rand.Uint64())
 			options.EditID = *edit
 			result := documents.Put(ctx, store, document, *from, options)
@@ -154,7 +154,7 @@
 	from := command.Flag("from", "Revision that the edit was based on.").Required().Uint64()
 	flags := addPlatformFlags(command)
 	r.Add(command, func(ctx context.Context) error {
-		return withStore(ctx, r.Env, flags, func(ctx context.Context, store platform.Store) error {
+		return withStore(ctx, r.Env, flags, func(ctx context.Context, store metastore.Store) error {
 			return reportResult(r.Env, flags, documents.Outcome(ctx, store, *service, *edit, *from))
 		})
 	})
@@ -202,7 +202,7 @@
 	service := command.Arg("service", "Name of the service.").Required().String()
 	flags := addPlatformFlags(command)
 	r.Add(command, func(ctx context.Context) error {
-		return withStore(ctx, r.Env, flags, func(ctx context.Context, store platform.Store) error {
+		return withStore(ctx, r.Env, flags, func(ctx context.Context, store metastore.Store) error {
 			revisions, err := documents.History(ctx, store, *service)
 			if err != nil {
 				return err
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -12,7 +12,7 @@
 
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/internal/proxy"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 func addProxy(r *Registry) {
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := platform.NewClient(optionsOf(settings))
+	client, err := metastore.NewClient(optionsOf(settings))
 	if err != nil {
 		return err
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -17,7 +17,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	peerpb "skylarkhinge.dev/skylarkhinge/api/peer/v1"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // peerFlags name the proxies that a command talks to.
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := platform.NewClient(options)
+	client, err := metastore.NewClient(options)
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +53,7 @@
 	}
 	var out []string
 	for _, vm := range list.VMs {
-		if vm.Role == platform.VMProxy {
+		if vm.Role == metastore.VMProxy {
 			out = append(out, vm.Address)
 		}
 	}
--- a/internal/documents/envelope.go
+++ b/internal/documents/envelope.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/config"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 const (
@@ -79,7 +79,7 @@
 
 // revisionsOf returns the current and the earlier revisions of an entry, newest
 // first; none if the key is missing.
-func revisionsOf(entry platform.Entry) ([]Revision, error) {
+func revisionsOf(entry metastore.Entry) ([]Revision, error) {
 	if entry.Revision == 0 {
 		return nil, nil
 	}
--- a/internal/documents/put.go
+++ b/internal/documents/put.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/config"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // Status is the outcome of a put.
@@ -73,7 +73,7 @@
 	// Attempts bounds the requests that are sent while the outcome is unknown.
 	Attempts int
 	// Backoff gives the waits between attempts.
-	Backoff *platform.Backoff
+	Backoff *metastore.Backoff
 	// EditID is generated if it is empty. The id of an earlier put that ended
 	// as unknown continues that put.
 	EditID string
@@ -82,7 +82,7 @@
 // DefaultOptions returns the options used by the command: 6 attempts with waits
 // of up to 2 s outlast a change of the store's leader.
 func DefaultOptions(author string, seed uint64) Options {
-	return Options{Author: author, Attempts: 6, Backoff: platform.NewBackoff(100*time.Millisecond, 2*time.Second, seed)}
+	return Options{Author: author, Attempts: 6, Backoff: metastore.NewBackoff(100*time.Millisecond, 2*time.Second, seed)}
 }
 
 // Put replaces the document at a revision; 0 means that there is none yet.
@@ -91,7 +91,7 @@
 // revision is still in force, the request may yet arrive at the store, so that
 // no read proves that it was lost. The same edit is then sent again: at most
 // one request takes force, since the revision changes with it.
-func Put(ctx context.Context, store platform.Store, document *config.Document, from uint64, options Options) Result {
+func Put(ctx context.Context, store metastore.Store, document *config.Document, from uint64, options Options) Result {
 	p := putter{store: store, document: document, options: options,
 		result: Result{Service: document.Service, From: from, EditID: options.EditID}}
 	// A given id may belong to an earlier put that ended as unknown.
@@ -118,7 +118,7 @@
 }
 
 // Outcome asks for the outcome of an earlier put that ended as unknown.
-func Outcome(ctx context.Context, store platform.Store, service, editID string, from uint64) Result {
+func Outcome(ctx context.Context, store metastore.Store, service, editID string, from uint64) Result {
 	p := putter{store: store, inDoubt: true, result: Result{Service: service, From: from, EditID: editID}}
 	entry, err := store.Get(ctx, Key(service))
 	if err != nil {
@@ -143,7 +143,7 @@
 
 // putter is a put under way.
 type putter struct {
-	store    platform.Store
+	store    metastore.Store
 	document *config.Document
 	options  Options
 	// inDoubt is set once a request has gone unanswered.
@@ -151,7 +151,7 @@
 	result  Result
 }
 
-func (p *putter) value(current platform.Entry, raw []byte) ([]byte, error) {
+func (p *putter) value(current metastore.Entry, raw []byte) ([]byte, error) {
 	// An unreadable value is replaced without its history.
 	earlier, _ := revisionsOf(current)
 	edit := Edit{ID: p.result.EditID, Author: p.options.Author, Time: time.Now().UTC(),
@@ -170,7 +170,7 @@
 		if err == nil {
 			return p.judge(swap.Entry)
 		}
-		if !p.inDoubt && !errors.Is(err, platform.ErrUnknownOutcome) {
+		if !p.inDoubt && !errors.Is(err, metastore.ErrUnknownOutcome) {
 			return p.failed(err)
 		}
 		p.inDoubt = true
@@ -185,7 +185,7 @@
 }
 
 // judge decides by the revisions of an entry that replaced the expected one.
-func (p *putter) judge(entry platform.Entry) Result {
+func (p *putter) judge(entry metastore.Entry) Result {
 	p.result.Current = entry.Revision
 	revisions, err := revisionsOf(entry)
 	if err != nil && p.inDoubt {
@@ -234,7 +234,7 @@
 }
 
 // conflict reports the edit that is in force instead.
-func (p *putter) conflict(entry platform.Entry) Result {
+func (p *putter) conflict(entry metastore.Entry) Result {
 	p.result.Current = entry.Revision
 	revisions, err := revisionsOf(entry)
 	if err != nil || len(revisions) == 0 {
--- a/internal/documents/put_test.go
+++ b/internal/documents/put_test.go
@@ -17,7 +17,7 @@
 	"pgregory.net/rapid"
 
 	"skylarkhinge.dev/skylarkhinge/config"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // TestMain fixes the seed of property tests unless the command line sets one.
@@ -46,8 +46,8 @@
 
 // fakeStore keeps entries in memory. Other operators' edits run in between.
 type fakeStore struct {
-	platform.Store
-	entry  platform.Entry
+	metastore.Store
+	entry  metastore.Entry
 	step   uint64
 	faults []fault
 	// readErr is the answer of reads after the first compare-and-swap, or of
@@ -65,15 +65,15 @@
 
 func newStore() *fakeStore { return &fakeStore{step: 1, applied: map[string]uint64{}} }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (metastore.Entry, error) {
 	if (s.sent > 0 || s.down) && s.readErr != nil {
-		return platform.Entry{}, s.readErr
+		return metastore.Entry{}, s.readErr
 	}
 	if s.sent > 0 && s.between != nil {
 		s.between()
 	}
 	if s.entry.Revision == 0 {
-		return platform.Entry{Key: key}, nil
+		return metastore.Entry{Key: key}, nil
 	}
 	return s.entry, nil
 }
@@ -82,7 +82,7 @@
 	if s.entry.Revision != expected {
 		return false
 	}
-	s.entry = platform.Entry{Key: key, Value: value, Revision: expected + s.step}
+	s.entry = metastore.Entry{Key: key, Value: value, Revision: expected + s.step}
 	revisions, err := revisionsOf(s.entry)
 	if err != nil {
 		panic(err)
@@ -91,7 +91,7 @@
 	return true
 }
 
-func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expected uint64, value []byte) (platform.Swap, error) {
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expected uint64, value []byte) (metastore.Swap, error) {
 	s.sent++
 	if s.sent == 1 && s.race != nil {
 		s.race()
@@ -106,20 +106,20 @@
 	s.delayed = nil
 	switch now {
 	case faultOutage:
-		return platform.Swap{}, platform.ErrUnavailable
+		return metastore.Swap{}, metastore.ErrUnavailable
 	case faultLimited:
-		return platform.Swap{}, platform.ErrRateLimited
+		return metastore.Swap{}, metastore.ErrRateLimited
 	case faultLostBefore:
-		return platform.Swap{}, platform.ErrUnknownOutcome
+		return metastore.Swap{}, metastore.ErrUnknownOutcome
 	case faultDelayed:
 		s.delayed = append(s.delayed, func() { s.store(key, expected, value) })
-		return platform.Swap{}, platform.ErrUnknownOutcome
+		return metastore.Swap{}, metastore.ErrUnknownOutcome
 	case faultLostAfter:
 		s.store(key, expected, value)
-		return platform.Swap{}, platform.ErrUnknownOutcome
+		return metastore.Swap{}, metastore.ErrUnknownOutcome
 	}
 	swapped := s.store(key, expected, value)
-	return platform.Swap{Swapped: swapped, Entry: s.entry}, nil
+	return metastore.Swap{Swapped: swapped, Entry: s.entry}, nil
 }
 
 func document(t assert.TestingT, maxQueued int) *config.Document {
@@ -168,9 +168,9 @@
 		{name: "lost before, revision moved twice", faults: []fault{faultLostBefore}, others: 2, status: StatusNotApplied, current: 3, cause: ErrConflict},
 		{name: "lost, then store down", faults: []fault{faultLostAfter, faultOutage, faultOutage, faultOutage, faultOutage, faultOutage}, readErr: down, status: StatusUnknown, cause: down},
 		{name: "lost, then rate limited", faults: []fault{faultLostBefore, faultLimited, faultLostBefore}, status: StatusInForce, revision: 2, current: 2},
-		{name: "outage", faults: []fault{faultOutage}, status: StatusNotApplied, cause: platform.ErrUnavailable},
-		{name: "rate limited", faults: []fault{faultLimited}, status: StatusNotApplied, cause: platform.ErrRateLimited},
-		{name: "continued during an outage", editID: "e", faults: []fault{faultOutage, faultOutage, faultOutage, faultOutage, faultOutage, faultOutage}, status: StatusUnknown, cause: platform.ErrUnavailable},
+		{name: "outage", faults: []fault{faultOutage}, status: StatusNotApplied, cause: metastore.ErrUnavailable},
+		{name: "rate limited", faults: []fault{faultLimited}, status: StatusNotApplied, cause: metastore.ErrRateLimited},
+		{name: "continued during an outage", editID: "e", faults: []fault{faultOutage, faultOutage, faultOutage, faultOutage, faultOutage, faultOutage}, status: StatusUnknown, cause: metastore.ErrUnavailable},
 		{name: "others race", racing: 1, status: StatusNotApplied, current: 2, cause: ErrConflict},
 		{name: "others race twice, history gone", racing: MaxHistory + 2, status: StatusNotApplied, current: 11, cause: ErrConflict},
 		{name: "others were first", atFirst: 1, status: StatusNotApplied, current: 2, cause: ErrConflict},
@@ -237,16 +237,16 @@
 // Guards against an earlier put in doubt that is declared not applied because
 // the store can't be read.
 func TestUnreadableStore(t *testing.T) {
-	store := &fakeStore{down: true, readErr: platform.ErrUnavailable}
+	store := &fakeStore{down: true, readErr: metastore.ErrUnavailable}
 	options := DefaultOptions("me", 1)
 	assert.Equal(t, Put(t.Context(), store, document(t, 1), 0, options).Status, StatusNotApplied)
 	options.EditID = "earlier"
 	assert.Equal(t, Put(t.Context(), store, document(t, 1), 0, options).Status, StatusUnknown)
 	result := Outcome(t.Context(), store, "olarizu-workshop", "earlier", 0)
 	assert.Equal(t, result.Status, StatusUnknown)
-	assert.Assert(t, errors.Is(result.Err, platform.ErrUnavailable))
+	assert.Assert(t, errors.Is(result.Err, metastore.ErrUnavailable))
 	_, err := History(t.Context(), store, "olarizu-workshop")
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Assert(t, errors.Is(err, metastore.ErrUnavailable))
 }
 
 // Guards against wrong outcomes under any mix of faults, late requests and
@@ -284,12 +284,12 @@
 			edits = edits[1:]
 			store.readErr = nil
 			if len(readFails) > 0 && readFails[0] {
-				store.readErr = platform.ErrUnavailable
+				store.readErr = metastore.ErrUnavailable
 			}
 			readFails = readFails[min(1, len(readFails)):]
 		}
 		options := DefaultOptions("me", 1)
-		options.Backoff = platform.NewBackoff(2, 2, 1)
+		options.Backoff = metastore.NewBackoff(2, 2, 1)
 		result := Put(t.Context(), store, document(t, 5000), from, options)
 		store.between, store.race, store.readErr, store.faults = nil, nil, nil, nil
 		for _, arrive := range store.delayed {
--- a/internal/documents/read.go
+++ b/internal/documents/read.go
@@ -6,14 +6,14 @@
 
 	"github.com/samber/oops"
 
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // ErrNotFound means that the store has no document of the service.
 var ErrNotFound = errors.New("service has no document")
 
 // Get returns the revision in force.
-func Get(ctx context.Context, store platform.Store, service string) (Revision, error) {
+func Get(ctx context.Context, store metastore.Store, service string) (Revision, error) {
 	revisions, err := History(ctx, store, service)
 	if err != nil {
 		return Revision{}, err
@@ -23,7 +23,7 @@
 
 // History returns the revision in force and the earlier ones that are kept,
 // newest first.
-func History(ctx context.Context, store platform.Store, service string) ([]Revision, error) {
+func History(ctx context.Context, store metastore.Store, service string) ([]Revision, error) {
 	entry, err := store.Get(ctx, Key(service))
 	if err != nil {
 		return nil, err
--- a/internal/documents/table.go
+++ b/internal/documents/table.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"skylarkhinge.dev/skylarkhinge/config"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // InForce is a document that took force at this proxy.
@@ -76,7 +76,7 @@
 }
 
 func documentOf(service string, revision uint64, value []byte) (*config.Document, error) {
-	revisions, err := revisionsOf(platform.Entry{Key: Key(service), Value: value, Revision: revision})
+	revisions, err := revisionsOf(metastore.Entry{Key: Key(service), Value: value, Revision: revision})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/documents/watcher.go
+++ b/internal/documents/watcher.go
@@ -6,7 +6,7 @@
 
 	"github.com/samber/oops"
 
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // Sink takes the store's documents. Offer returns an error if it refuses one.
@@ -16,7 +16,7 @@
 
 // Watcher feeds the store's documents to a sink, such as a *Table.
 type Watcher struct {
-	Store platform.Store
+	Store metastore.Store
 	Sink  Sink
 	// Report gets outages of the store and the *RefusedError of refused values.
 	Report func(error)
@@ -24,13 +24,13 @@
 	// the start and after each outage. It may be nil.
 	Current func()
 	// Backoff gives the waits between attempts.
-	Backoff *platform.Backoff
+	Backoff *metastore.Backoff
 }
 
 // NewWatchBackoff returns the waits of the daemon's watcher. With up to 2 s a
 // document is in force within 5 s after an outage.
-func NewWatchBackoff(seed uint64) *platform.Backoff {
-	return platform.NewBackoff(100*time.Millisecond, 2*time.Second, seed)
+func NewWatchBackoff(seed uint64) *metastore.Backoff {
+	return metastore.NewBackoff(100*time.Millisecond, 2*time.Second, seed)
 }
 
 // Run watches until ctx ends and returns its error. Each new watch starts with
@@ -48,7 +48,7 @@
 	}
 }
 
-func (w *Watcher) receive(event platform.WatchEvent) error {
+func (w *Watcher) receive(event metastore.WatchEvent) error {
 	service, isDocument := serviceOf(event.Entry.Key)
 	if isDocument && event.Entry.Revision > 0 {
 		if err := w.Sink.Offer(service, event.Entry.Revision, event.Entry.Value); err != nil {
--- a/internal/documents/watcher_test.go
+++ b/internal/documents/watcher_test.go
@@ -10,20 +10,20 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // watchStore plays a script: each watch sends its events and breaks.
 type watchStore struct {
-	platform.Store
-	watches [][]platform.WatchEvent
+	metastore.Store
+	watches [][]metastore.WatchEvent
 	starts  []time.Duration
 	begin   time.Time
 }
 
 var errBroken = errors.New("stream broke")
 
-func (s *watchStore) Watch(ctx context.Context, _ string, receive func(platform.WatchEvent) error) error {
+func (s *watchStore) Watch(ctx context.Context, _ string, receive func(metastore.WatchEvent) error) error {
 	s.starts = append(s.starts, time.Since(s.begin))
 	if len(s.watches) == 0 {
 		<-ctx.Done()
@@ -39,7 +39,7 @@
 	return errBroken
 }
 
-func event(t *testing.T, service string, revision uint64, maxQueued int) platform.WatchEvent {
+func event(t *testing.T, service string, revision uint64, maxQueued int) metastore.WatchEvent {
 	t.Helper()
 	doc := document(t, maxQueued)
 	doc.Service = service
@@ -47,19 +47,19 @@
 	assert.NilError(t, err)
 	value, err := encode(Edit{ID: "e", Raw: raw}, nil)
 	assert.NilError(t, err)
-	return platform.WatchEvent{Entry: platform.Entry{Key: Key(service), Value: value, Revision: revision}}
+	return metastore.WatchEvent{Entry: metastore.Entry{Key: Key(service), Value: value, Revision: revision}}
 }
 
 // Guards against documents that revert, are applied twice after an outage, or
 // are lost because of a faulty one or an outage.
 func TestWatcher(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		garbage := platform.WatchEvent{Entry: platform.Entry{Key: Key("a"), Value: []byte("{"), Revision: 6}}
-		faulty := platform.WatchEvent{Entry: platform.Entry{Key: Key("a"), Value: []byte(`{"edit_id": "e", "document": {"service": "a"}}`), Revision: 8}}
+		garbage := metastore.WatchEvent{Entry: metastore.Entry{Key: Key("a"), Value: []byte("{"), Revision: 6}}
+		faulty := metastore.WatchEvent{Entry: metastore.Entry{Key: Key("a"), Value: []byte(`{"edit_id": "e", "document": {"service": "a"}}`), Revision: 8}}
 		misplaced := event(t, "b", 9, 1)
 		misplaced.Entry.Key = Key("a")
-		current := platform.WatchEvent{Current: true}
-		store := &watchStore{begin: time.Now(), watches: [][]platform.WatchEvent{
+		current := metastore.WatchEvent{Current: true}
+		store := &watchStore{begin: time.Now(), watches: [][]metastore.WatchEvent{
 			{event(t, "a", 5, 50), event(t, "b", 1, 10), current, garbage},
 			{}, {}, {},
 			{event(t, "a", 4, 40), event(t, "b", 1, 10), misplaced, faulty, current, event(t, "a", 7, 70)},
--- a/internal/measure/capacity/callers.go
+++ b/internal/measure/capacity/callers.go
@@ -10,15 +10,15 @@
 
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/internal/proxy"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // noPlatform is a platform that is out of service.
 type noPlatform struct{}
 
 // ListVMs fails.
-func (noPlatform) ListVMs(context.Context) (platform.VMList, error) {
-	return platform.VMList{}, platform.ErrUnavailable
+func (noPlatform) ListVMs(context.Context) (metastore.VMList, error) {
+	return metastore.VMList{}, metastore.ErrUnavailable
 }
 
 // measureCallers returns the memory of idle caller connections at an entry.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -17,7 +17,7 @@
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	platformstandin "skylarkhinge.dev/skylarkhinge/internal/standin/platform"
 	"skylarkhinge.dev/skylarkhinge/internal/standin/upstream"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // fleet is a group of upstreams, a platform and some proxies in one process.
@@ -33,7 +33,7 @@
 type fleetProxy struct {
 	*Proxy
 	name   string
-	client *platform.Client
+	client *metastore.Client
 	at     Addresses
 	stop   context.CancelFunc
 	ended  chan struct{}
@@ -110,7 +110,7 @@
 	settings.PeerAddress = "127.0.0.1:0"
 	settings.MetricsAddress = "127.0.0.1:0"
 	settings.Seed = 1
-	client, err := platform.NewClient(platform.DefaultOptions([]string{f.platform.Address()}))
+	client, err := metastore.NewClient(metastore.DefaultOptions([]string{f.platform.Address()}))
 	assert.NilError(f.t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -163,10 +163,10 @@
 // introduce gives the proxies a list that has them all, without the platform.
 // except learns it from its peers.
 func (f *fleet) introduce(except *fleetProxy) {
-	list := platform.VMList{Revision: 1000}
+	list := metastore.VMList{Revision: 1000}
 	for _, p := range f.proxies {
-		list.VMs = append(list.VMs, platform.VM{
-			Name: p.name, Address: p.at.Peers, AvailabilityZone: "a", State: platform.VMLive, Role: platform.VMProxy,
+		list.VMs = append(list.VMs, metastore.VM{
+			Name: p.name, Address: p.at.Peers, AvailabilityZone: "a", State: metastore.VMLive, Role: metastore.VMProxy,
 		})
 	}
 	for _, p := range f.proxies {
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -11,14 +11,14 @@
 
 	peerpb "skylarkhinge.dev/skylarkhinge/api/peer/v1"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // listState is the platform's list as last seen, for peers that start while the
 // platform is out of service.
 type listState struct {
 	mu   sync.Mutex
-	last platform.VMList
+	last metastore.VMList
 	// learning is set while a peer is asked for its list.
 	learning atomic.Bool
 	// address is where this proxy listens for its peers.
@@ -35,14 +35,14 @@
 }
 
 // keepList takes a list from the platform or from a peer.
-func (p *Proxy) keepList(list platform.VMList) {
+func (p *Proxy) keepList(list metastore.VMList) {
 	p.list.mu.Lock()
 	p.list.last = list
 	p.list.mu.Unlock()
 	p.putList(list)
 }
 
-func (p *Proxy) lastList() platform.VMList {
+func (p *Proxy) lastList() metastore.VMList {
 	p.list.mu.Lock()
 	defer p.list.mu.Unlock()
 	return p.list.last
@@ -75,7 +75,7 @@
 	if err != nil {
 		return fail.Wrap(err)
 	}
-	list, err := platform.DecodeList(response.GetList())
+	list, err := metastore.DecodeList(response.GetList())
 	if err != nil {
 		return fail.Wrap(err)
 	}
@@ -87,7 +87,7 @@
 
 // VMs returns the platform's list as this proxy knows it.
 func (s *peerServer) VMs(context.Context, *peerpb.VMsRequest) (*peerpb.VMsResponse, error) {
-	list, err := platform.EncodeList(s.proxy.lastList())
+	list, err := metastore.EncodeList(s.proxy.lastList())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/runtime.go
+++ b/internal/proxy/runtime.go
@@ -15,14 +15,14 @@
 	"skylarkhinge.dev/skylarkhinge/core"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // Options are what a proxy needs from outside.
 type Options struct {
 	Settings  *config.Settings
-	Store     platform.Store
-	Directory platform.Directory
+	Store     metastore.Store
+	Directory metastore.Directory
 	Log       *logrus.Logger
 	// Core overrides the core's default configuration in tests.
 	Core *core.Config
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -15,7 +15,7 @@
 	"skylarkhinge.dev/skylarkhinge/core/docsync"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/membership"
-	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/metastore"
 )
 
 // listInterval is the time between readings of the platform's list of VMs.
@@ -121,18 +121,18 @@
 	}
 }
 
-func (p *Proxy) putList(list platform.VMList) {
+func (p *Proxy) putList(list metastore.VMList) {
 	addresses := map[entity.VM]string{}
 	var proxies []membership.ListedVM
 	var leaving []entity.Upstream
 	var peers []docsync.Peer
 	for _, vm := range list.VMs {
 		switch {
-		case vm.Role == platform.VMProxy:
+		case vm.Role == metastore.VMProxy:
 			addresses[entity.VM(vm.Name)] = vm.Address
 			proxies = append(proxies, listedVM(vm))
 			peers = append(peers, docsync.Peer{VM: entity.VM(vm.Name), AvailabilityZone: vm.AvailabilityZone})
-		case vm.Role == platform.VMUpstream && vm.State == platform.VMLeaving:
+		case vm.Role == metastore.VMUpstream && vm.State == metastore.VMLeaving:
 			leaving = append(leaving, entity.Upstream(vm.Name))
 		}
 	}
@@ -145,9 +145,9 @@
 	})
 }
 
-func listedVM(vm platform.VM) membership.ListedVM {
+func listedVM(vm metastore.VM) membership.ListedVM {
 	state := membership.VMLive
-	if vm.State == platform.VMLeaving {
+	if vm.State == metastore.VMLeaving {
 		state = membership.VMLeaving
 	}
 	return membership.ListedVM{VM: entity.VM(vm.Name), AvailabilityZone: vm.AvailabilityZone, State: state}
--- a/platform/backoff.go
+++ b/metastore/backoff.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"math/rand/v2"
--- a/platform/platform.go
+++ b/metastore/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the narrow interface to the platform's key-value service
+// Package metastore is the narrow interface to the platform's key-value service
 // and its list of VMs, with an adapter for its gRPC protocol.
-package platform
+package metastore
 
 import (
 	"context"
