--- /dev/null
+++ b/config/managed.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// ManagedSettings configure a daemon in front of databases whose leadership is
+// arbitrated by the platform (`skylarkhinge managed`).
+type ManagedSettings struct {
+	// VM is the daemon's name, unique among the daemons that share the store.
+	VM               string
+	AvailabilityZone string
+	Region           string
+	// Regions has the region of each availability zone.
+	Regions map[string]string
+	// CallerAddress is the listener for callers, ReadyAddress the HTTP listener
+	// for readiness probes. MetricsAddress is the HTTP listener for /metrics; it
+	// may be empty.
+	CallerAddress, ReadyAddress, MetricsAddress string
+	// StoreAddress is the platform's store, PromotionAddress its promotion API.
+	StoreAddress, PromotionAddress string
+	// ShutdownGrace is the time between SIGTERM and the end of the process.
+	ShutdownGrace time.Duration
+	// LeavingGrace is how long a leaving upstream may still get new work.
+	LeavingGrace time.Duration
+	// MaxDescriptors bounds the open files of the process.
+	MaxDescriptors int
+	LogLevel       LogLevel
+	// LogLinesPerSecond bounds the log lines about requests. Lines about changes
+	// of state are always written.
+	LogLinesPerSecond int
+}
+
+// DefaultManagedSettings returns the values of the optional settings.
+func DefaultManagedSettings() ManagedSettings {
+	return ManagedSettings{
+		ShutdownGrace:     6 * time.Second,
+		LeavingGrace:      7 * time.Second,
+		MaxDescriptors:    4096,
+		LogLevel:          LogInfo,
+		LogLinesPerSecond: 20,
+	}
+}
+
+// DecodeManagedSettings reads settings. The error is an *Error with all faults.
+func DecodeManagedSettings(data []byte) (*ManagedSettings, error) {
+	d := &decoder{}
+	if len(data) > MaxSettingsBytes {
+		d.faults.add("$", fmt.Sprintf("%d bytes long", len(data)), fmt.Sprintf("at most %d bytes", MaxSettingsBytes))
+		return nil, &d.faults
+	}
+	settings := DefaultManagedSettings()
+	if root := parse(data, &d.faults); root != nil {
+		d.managedSettings(root, &settings)
+	}
+	if err := d.faults.errOrNil(); err != nil {
+		return nil, err
+	}
+	return &settings, nil
+}
+
+func (d *decoder) managedSettings(n *node, s *ManagedSettings) {
+	d.object("$", n,
+		field{"vm", true, d.text(&s.VM, nameForm)},
+		field{"availability_zone", true, d.text(&s.AvailabilityZone, nameForm)},
+		field{"region", true, d.text(&s.Region, nameForm)},
+		field{"availability_zones", true, d.regions(&s.Regions)},
+		field{"caller_address", true, d.address(&s.CallerAddress)},
+		field{"ready_address", true, d.address(&s.ReadyAddress)},
+		field{"metrics_address", false, d.address(&s.MetricsAddress)},
+		field{"store_address", true, d.address(&s.StoreAddress)},
+		field{"promotion_address", true, d.address(&s.PromotionAddress)},
+		field{"shutdown_grace_s", false, d.span(&s.ShutdownGrace, time.Second, time.Second, time.Hour)},
+		field{"leaving_grace_ms", false, d.span(&s.LeavingGrace, time.Millisecond, 100*time.Millisecond, time.Hour)},
+		field{"max_descriptors", false, integer(d, &s.MaxDescriptors, 64, 10_000_000)},
+		field{"log_level", false, choice(d, &s.LogLevel, LogDebug, LogInfo, LogWarning, LogError)},
+		field{"log_lines_per_second", false, integer(d, &s.LogLinesPerSecond, 1, 100_000)},
+	)
+	listeners := uniqueness{}
+	listeners.add("$.caller_address", quoteIfSet(s.CallerAddress), &d.faults)
+	listeners.add("$.ready_address", quoteIfSet(s.ReadyAddress), &d.faults)
+	listeners.add("$.metrics_address", quoteIfSet(s.MetricsAddress), &d.faults)
+}
+
+// span reads a number of units, which may have a fraction, as a duration. The
+// platform renders its bounds as plain numbers.
+func (d *decoder) span(target *time.Duration, unit, low, high time.Duration) reader {
+	return func(path string, n *node) {
+		var count float64
+		before := len(d.faults.Faults) + d.faults.Omitted
+		d.number(&count, float64(low)/float64(unit), float64(high)/float64(unit))(path, n)
+		if len(d.faults.Faults)+d.faults.Omitted == before {
+			*target = time.Duration(count * float64(unit))
+		}
+	}
+}
+
+// maxAvailabilityZones bounds availability_zones.
+const maxAvailabilityZones = 256
+
+// regions reads an object that has the region of each availability zone.
+func (d *decoder) regions(target *map[string]string) reader {
+	return func(path string, n *node) {
+		if n.kind != kindObject || len(n.keys) > maxAvailabilityZones {
+			d.wrong(path, n, fmt.Sprintf("an object of at most %d availability zones with their regions", maxAvailabilityZones))
+			return
+		}
+		*target = make(map[string]string, len(n.keys))
+		for i, zone := range n.keys {
+			var region string
+			d.text(&region, nameForm)(fieldPath(path, zone), n.items[i])
+			(*target)[zone] = region
+		}
+	}
+}
--- /dev/null
+++ b/core/freshness/freshness.go
@@ -0,0 +1,96 @@
+// Package freshness derives the log position that a read must see. It is pure:
+// callers pass the time.
+//
+// A proof states that a member led its group at some instant at or after Sent,
+// and that its log then ended at Position. Every commit that was acknowledged
+// before Sent is at or before Position, so a read that may miss only commits
+// acknowledged after an instant is covered by any proof sent at or after it.
+// The oldest such proof asks least of a lagging replica.
+//
+// Invariants:
+//   - Proofs are ordered by Sent, and their positions do not decrease.
+//   - A floor is returned only from a proof that covers the whole interval.
+package freshness
+
+import (
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+// Proof is a confirmed position of the primary.
+type Proof struct {
+	// Sent is the instant at which the confirming command was sent.
+	Sent     entity.Time
+	Position entity.Position
+}
+
+// maxProofs bounds the history. At one proof per minGap it reaches back 6.4 s,
+// more than any staleness bound in use.
+const maxProofs = 128
+
+// minGap is the least time between kept proofs; the newest one is always kept.
+const minGap = 50 * time.Millisecond
+
+// History holds the recent proofs of one database.
+type History struct {
+	proofs []Proof
+	// highest is the highest position that was proven.
+	highest entity.Position
+}
+
+// Add notes a proof. Proofs that arrive out of order or contradict a newer one
+// are dropped: the newer one covers whatever they do.
+func (h *History) Add(p Proof) {
+	n := len(h.proofs)
+	if n > 0 {
+		last := h.proofs[n-1]
+		if p.Sent <= last.Sent || p.Position.Less(last.Position) {
+			return
+		}
+	}
+	if h.highest.Less(p.Position) {
+		h.highest = p.Position
+	}
+	if n > 1 && p.Sent.Sub(h.proofs[n-2].Sent) < minGap {
+		h.proofs[n-1] = p
+		return
+	}
+	if n == maxProofs {
+		copy(h.proofs, h.proofs[1:])
+		h.proofs = h.proofs[:n-1]
+	}
+	h.proofs = append(h.proofs, p)
+}
+
+// Floor returns the position that a read must see if it may miss commits
+// acknowledged after since. It reports false if no proof covers that.
+func (h *History) Floor(since entity.Time) (entity.Position, bool) {
+	for _, p := range h.proofs {
+		if p.Sent >= since {
+			return p.Position, true
+		}
+	}
+	return entity.Position{}, false
+}
+
+// Newest returns the newest proof, the zero Proof if there is none.
+func (h *History) Newest() Proof {
+	if len(h.proofs) == 0 {
+		return Proof{}
+	}
+	return h.proofs[len(h.proofs)-1]
+}
+
+// Highest returns the highest position that was ever proven.
+func (h *History) Highest() entity.Position { return h.highest }
+
+// Merge returns the floor that covers both a proven one and the session's own
+// writes. A position of an earlier term than the proven one is dropped: what of
+// it survived the promotion is before the start of the newer term.
+func Merge(proven, session entity.Position) entity.Position {
+	if session.Term < proven.Term || session.Less(proven) {
+		return proven
+	}
+	return session
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,7 @@
 // commands lists the functions that add commands to the binary.
 var commands = []func(*Registry){
 	addProxy,
+	addManaged,
 	addStatus,
 	addDrain,
 	addDocument,
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,11 +29,11 @@
 	})
 }
 
-func newLogger(env *Environment, settings *config.Settings) (*logrus.Logger, error) {
+func newLogger(out io.Writer, least config.LogLevel) (*logrus.Logger, error) {
 	log := logrus.New()
-	log.SetOutput(env.Stderr)
+	log.SetOutput(out)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	level, err := logrus.ParseLevel(string(settings.LogLevel))
+	level, err := logrus.ParseLevel(string(least))
 	if err != nil {
 		return nil, err
 	}
@@ -41,7 +42,7 @@
 }
 
 func runProxy(ctx context.Context, env *Environment, settings *config.Settings, trace string) error {
-	log, err := newLogger(env, settings)
+	log, err := newLogger(env.Stderr, settings.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -70,7 +71,7 @@
 
 // drainOnSignal starts a drain on the first SIGTERM or interrupt. The second
 // one has its usual effect.
-func drainOnSignal(p *proxy.Proxy) func() {
+func drainOnSignal(p interface{ Drain() }) func() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
--- /dev/null
+++ b/internal/managed/clock.go
@@ -0,0 +1,23 @@
+package managed
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+// now returns the time since boot. Unlike Go's monotonic clock it goes on while
+// the VM is suspended, so that a proof does not look fresh after a pause.
+func now() entity.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// CLOCK_BOOTTIME exists on every supported kernel.
+		panic("clock_gettime(CLOCK_BOOTTIME): " + err.Error())
+	}
+	return entity.Time(ts.Nano())
+}
+
+// wall returns the deadline of an instant for connections.
+func wall(at, current entity.Time) time.Time { return time.Now().Add(at.Sub(current)) }
--- /dev/null
+++ b/internal/managed/database.go
@@ -0,0 +1,264 @@
+package managed
+
+import (
+	"sync"
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/flood"
+	"skylarkhinge.dev/skylarkhinge/core/freshness"
+	"skylarkhinge.dev/skylarkhinge/core/placement"
+)
+
+// database is one group of upstreams with the requests that wait for it.
+type database struct {
+	proxy *Proxy
+	name  entity.Database
+
+	mu      sync.Mutex
+	limits  DatabaseLimits
+	members map[entity.Upstream]*member
+	// share is how many connections this proxy may hold to one member.
+	share     int
+	scheduler *flood.Scheduler
+	waiting   map[entity.Handle]*waiter
+	handles   entity.Handle
+	timer     *time.Timer
+	refusals  []flood.Refusal
+
+	leader     *member
+	leaderTerm uint64
+	history    freshness.History
+	// lastRead is the last arrival of a read that needs a floor.
+	lastRead entity.Time
+	// claim is the takeover that the store shows, zero if there is none.
+	claim claimRecord
+	scout *scout
+}
+
+// waiter is a request that waits for its permit.
+type waiter struct {
+	item     flood.Item
+	settings string
+	granted  chan grant
+}
+
+// grant is the scheduler's answer to a waiter.
+type grant struct {
+	permit  *permit
+	refusal *flood.Refusal
+}
+
+// permit allows one statement at a member. link is nil if a connection has to
+// be opened first.
+type permit struct {
+	db     *database
+	member *member
+	link   *link
+	item   flood.Item
+	began  entity.Time
+	ended  bool
+}
+
+func newDatabase(p *Proxy, name entity.Database) *database {
+	d := &database{
+		proxy:   p,
+		name:    name,
+		members: map[entity.Upstream]*member{},
+		waiting: map[entity.Handle]*waiter{},
+		share:   1,
+	}
+	d.scheduler = flood.New(flood.Policy{}, uint64(now()))
+	d.timer = time.AfterFunc(time.Hour, d.expire)
+	d.scout = newScout(d)
+	return d
+}
+
+// acquire waits until the statement may run. Reads that any member may serve
+// use LaneReplica.
+func (d *database) acquire(lane flood.Lane, rank int, deadline entity.Time, settings string) (*permit, *flood.Refusal) {
+	w := &waiter{settings: settings, granted: make(chan grant, 1)}
+	d.mu.Lock()
+	at := now()
+	d.handles++
+	w.item = flood.Item{
+		Handle: d.handles, Rank: rank, Caller: uint64(d.handles), Lane: lane,
+		Arrived: at, Deadline: deadline, Cost: expectedCost,
+	}
+	d.waiting[w.item.Handle] = w
+	if decision := d.scheduler.Offer(at, w.item); decision.Reason != flood.ReasonNone {
+		delete(d.waiting, w.item.Handle)
+		d.mu.Unlock()
+		return nil, &flood.Refusal{Handle: w.item.Handle, Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+	}
+	d.dispatch(at)
+	d.arm(at)
+	d.mu.Unlock()
+	g := <-w.granted
+	return g.permit, g.refusal
+}
+
+// expectedCost is the slot time assumed for a statement before any was measured.
+const expectedCost = 30 * time.Millisecond
+
+// dispatch hands permits to waiting requests while members have room.
+func (d *database) dispatch(at entity.Time) {
+	for d.scheduler.Len(flood.LanePrimary) > 0 {
+		m := d.leader
+		if m == nil || !m.available(at) || !m.hasConnection(at, d.share) {
+			break
+		}
+		d.grantNext(at, flood.LanePrimary, m)
+	}
+	for d.scheduler.Len(flood.LaneReplica) > 0 {
+		m := d.chooseReader(at)
+		if m == nil {
+			break
+		}
+		d.grantNext(at, flood.LaneReplica, m)
+	}
+}
+
+func (d *database) grantNext(at entity.Time, lane flood.Lane, m *member) {
+	item, ok := d.scheduler.Next(at, lane)
+	if !ok {
+		return
+	}
+	w := d.waiting[item.Handle]
+	delete(d.waiting, item.Handle)
+	p := &permit{db: d, member: m, item: item, began: at}
+	if p.link = m.takeIdle(w.settings); p.link == nil {
+		m.open++
+	}
+	m.running++
+	w.granted <- grant{permit: p}
+}
+
+// chooseReader returns the member for the next read, nil if none has room.
+func (d *database) chooseReader(at entity.Time) *member {
+	var best *member
+	var bestCandidate placement.Candidate
+	for _, m := range d.members {
+		if !m.available(at) || !m.hasConnection(at, d.share) || at < m.lagUntil || m.leavingSince != 0 {
+			continue
+		}
+		c := placement.Candidate{
+			Name: m.spec.Name, Distance: m.distance, Running: m.running, Slots: m.spec.Slots,
+			Primary: m == d.leader, Latency: m.latency, Connected: len(m.idle) > 0,
+		}
+		if best == nil || placement.Better(c, bestCandidate) {
+			best, bestCandidate = m, c
+		}
+	}
+	return best
+}
+
+// arm sets the timer for the next expiry or the end of a pause.
+func (d *database) arm(at entity.Time) {
+	next := d.scheduler.NextExpiry()
+	if len(d.waiting) > 0 {
+		// Pauses of members end without an event.
+		next = min(next, at.Add(queuePoll))
+	}
+	if next == entity.Never {
+		return
+	}
+	d.timer.Reset(max(next.Sub(at), time.Millisecond))
+}
+
+// queuePoll is how often a queue is looked at while nothing happens.
+const queuePoll = 20 * time.Millisecond
+
+// expire refuses what can no longer run in time.
+func (d *database) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := now()
+	d.dispatch(at)
+	d.refusals = d.scheduler.Expire(at, d.refusals[:0])
+	for i := range d.refusals {
+		refusal := d.refusals[i]
+		if w, ok := d.waiting[refusal.Handle]; ok {
+			delete(d.waiting, refusal.Handle)
+			w.granted <- grant{refusal: &refusal}
+		}
+	}
+	d.arm(at)
+}
+
+// finish ends the statement of a permit. The link stays with the caller.
+func (d *database) finish(p *permit, ran bool) {
+	if p.ended {
+		return
+	}
+	p.ended = true
+	at := now()
+	p.member.running--
+	cost := time.Duration(0)
+	if ran {
+		cost = max(at.Sub(p.began), time.Microsecond)
+		p.member.observeLatency(cost)
+	}
+	d.scheduler.Done(at, p.item, cost)
+}
+
+// putBack returns a healthy link to the pool.
+func (d *database) putBack(l *link) {
+	m := l.member
+	l.lastUsed = now()
+	if m.gone || !l.pooled || len(l.prepared) > maxPreparedPerLink {
+		d.dropLocked(l)
+		return
+	}
+	m.idle = append(m.idle, l)
+}
+
+// dropLocked closes a link that must not be used again.
+func (d *database) dropLocked(l *link) {
+	if l.pooled {
+		l.pooled = false
+		l.member.open--
+	}
+	go closeLink(l)
+}
+
+// closeLink closes a connection. Its state no longer matters, so an error has no
+// consequence.
+func closeLink(l *link) { _ = l.conn.Close() }
+
+// end finishes a permit and returns its link, which may be nil, to the pool.
+func (d *database) end(p *permit, healthy bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.finish(p, healthy)
+	if p.link != nil {
+		if healthy {
+			p.member.answered()
+			d.putBack(p.link)
+		} else {
+			d.dropLocked(p.link)
+		}
+		p.link = nil
+	}
+	at := now()
+	d.dispatch(at)
+	d.arm(at)
+}
+
+// applyShare sets the connections per member and the slots of the lanes.
+func (d *database) applyShare(proxies int) {
+	usable := d.limits.Connections - reservedConnections
+	d.share = max(1, usable/max(1, proxies))
+	readers := 0
+	for _, m := range d.members {
+		if !m.gone {
+			readers++
+		}
+	}
+	d.scheduler.SetSlots(flood.LanePrimary, d.share)
+	d.scheduler.SetSlots(flood.LaneReplica, max(1, readers)*d.share)
+}
+
+// reservedConnections of each member are left to status calls and takeovers, so
+// that a promotion is possible while every proxy uses its share.
+const reservedConnections = 4
--- /dev/null
+++ b/internal/managed/directory.go
@@ -0,0 +1,141 @@
+package managed
+
+import (
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/placement"
+)
+
+// putMember takes over a member's entry.
+func (p *Proxy) putMember(spec Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.document().Databases[spec.Database]; !known && p.document().Version != 0 {
+		p.events.limited("entry_refused", "put_member", string(spec.Name), nil, errUnknownDatabase)
+		return
+	}
+	d := p.databaseLocked(spec.Database)
+	if before, ok := p.byMember[spec.Name]; ok && before != d {
+		before.removeMember(spec.Name)
+	}
+	p.byMember[spec.Name] = d
+	d.putMember(spec, p.distance(spec.AvailabilityZone))
+}
+
+var errUnknownDatabase = errorText("database is not in the configuration")
+
+// errorText is a constant error.
+type errorText string
+
+// Error returns the text.
+func (e errorText) Error() string { return string(e) }
+
+func (p *Proxy) distance(zone string) int {
+	s := p.options.Settings
+	switch {
+	case zone == s.AvailabilityZone:
+		return placement.SameZone
+	case p.options.Regions[zone] == s.Region:
+		return placement.SameRegion
+	}
+	return placement.OtherRegion
+}
+
+func (p *Proxy) removeMember(name entity.Upstream) {
+	p.mu.Lock()
+	d := p.byMember[name]
+	p.mu.Unlock()
+	if d != nil {
+		d.removeMember(name)
+	}
+}
+
+// markUnlisted marks the known entries that a listing lacks as removed.
+func (p *Proxy) markUnlisted(listed []Change) {
+	present := map[entity.Upstream]bool{}
+	keys := map[string]bool{}
+	for i := range listed {
+		if listed[i].Member != nil {
+			present[listed[i].Member.Name] = true
+		}
+		keys[listed[i].Key] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, d := range p.byMember {
+		if !present[name] {
+			d.removeMember(name)
+		}
+	}
+	for name := range p.proxies.names {
+		if !keys[vmPrefix+name] {
+			delete(p.proxies.names, name)
+		}
+	}
+	for name, d := range p.databases {
+		if !keys[claimPrefix+string(name)] {
+			d.mu.Lock()
+			d.claim = claimRecord{}
+			d.mu.Unlock()
+		}
+	}
+}
+
+func (d *database) putMember(spec Member, distance int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := now()
+	m, known := d.members[spec.Name]
+	if !known {
+		m = &member{spec: spec, distance: distance}
+		d.members[spec.Name] = m
+		d.applyShare(d.proxy.proxies.count())
+	}
+	changed := !known || m.spec != spec || m.missingSince != 0
+	if m.spec.Address != spec.Address || m.spec.Incarnation != spec.Incarnation {
+		for _, l := range m.idle {
+			d.dropLocked(l)
+		}
+		m.idle = m.idle[:0]
+		m.answered()
+	}
+	claimsLead := spec.Primary && (!known || !m.spec.Primary) && m != d.leader
+	if spec.Leaving && m.leavingSince == 0 {
+		m.leavingSince = at
+		for _, l := range m.idle {
+			if m != d.leader {
+				d.dropLocked(l)
+			}
+		}
+		if m != d.leader {
+			m.idle = m.idle[:0]
+		}
+	}
+	if !spec.Leaving {
+		m.leavingSince = 0
+	}
+	m.spec, m.distance, m.missingSince = spec, distance, 0
+	if changed {
+		d.proxy.events.memberChanged(d.name, spec)
+	}
+	if claimsLead && d.leader != nil {
+		d.scout.leadClaimed(m)
+	}
+	if changed {
+		d.scout.wake()
+	}
+	d.dispatch(at)
+	d.arm(at)
+}
+
+// removeMember notes that a member's entry is away. It is used on for a while:
+// entries also lapse when the store was out.
+func (d *database) removeMember(name entity.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.members[name]
+	if !ok || m.missingSince != 0 {
+		return
+	}
+	m.missingSince = now()
+	d.proxy.events.memberMissing(d.name, name)
+}
--- /dev/null
+++ b/internal/managed/events.go
@@ -0,0 +1,184 @@
+package managed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/takeover"
+	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
+)
+
+// events writes one key=value line for each decision that touches a request or
+// changes what the proxy believes. Lines about requests have a budget; what is
+// left out is counted in a line of its own.
+type events struct {
+	log     *logrus.Logger
+	repeats telemetry.Repeats
+
+	mu      sync.Mutex
+	budget  int
+	second  int64
+	perSec  int
+	omitted map[Code]int
+}
+
+func newEvents(log *logrus.Logger, linesPerSecond int) *events {
+	return &events{log: log, perSec: linesPerSecond, omitted: map[Code]int{}}
+}
+
+func (e *events) line(event string) *logrus.Entry { return e.log.WithField("event", event) }
+
+// state logs a change of what the proxy believes. Such lines are always written.
+func (e *events) state(event string, fields logrus.Fields) {
+	e.line(event).WithFields(fields).Info("state changed")
+}
+
+// admit takes one line from the budget of the current second.
+func (e *events) admit(code Code) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if second := time.Now().Unix(); second != e.second {
+		e.second, e.budget = second, e.perSec
+	}
+	if e.budget > 0 {
+		e.budget--
+		return true
+	}
+	e.omitted[code]++
+	return false
+}
+
+// summary logs what the budget left out since the last one.
+func (e *events) summary() {
+	e.mu.Lock()
+	omitted := e.omitted
+	e.omitted = map[Code]int{}
+	e.mu.Unlock()
+	if len(omitted) == 0 {
+		return
+	}
+	fields := logrus.Fields{}
+	for code, count := range omitted {
+		fields["code_"+code.String()] = count
+	}
+	e.line("requests_omitted").WithFields(fields).Info("lines left out")
+}
+
+// failed logs a statement that was answered with an error.
+func (e *events) failed(s *session, statement *Statement, reply Reply, took time.Duration) {
+	if !e.admit(reply.Code) {
+		return
+	}
+	e.line("request_failed").WithFields(logrus.Fields{
+		"id": statement.ID, "database": s.host, "code": reply.Code.String(), "reason": reply.Text,
+		"took_ms": took.Milliseconds(), "caller": s.caller.Address(), "statement": statement.Kind,
+	}).Info("request failed")
+}
+
+// transactionEnded logs a transaction that the proxy ended between statements.
+func (e *events) transactionEnded(s *session, reason string) {
+	if e.admit(CodeAborted) {
+		e.line("transaction_ended").WithFields(logrus.Fields{
+			"database": s.host, "reason": reason, "caller": s.caller.Address(),
+		}).Info("transaction ended by the proxy")
+	}
+}
+
+func memberName(m *member) entity.Upstream {
+	if m == nil {
+		return "none"
+	}
+	return m.spec.Name
+}
+
+func (e *events) leaderChanged(db entity.Database, from, to *member, term uint64, reason string) {
+	e.state("primary_changed", logrus.Fields{
+		"database": db, "from": memberName(from), "to": memberName(to), "term": term, "reason": reason,
+	})
+}
+
+func (e *events) leaderMissed(db entity.Database, m *member, misses int, err error) {
+	e.line("primary_missed").WithFields(logrus.Fields{
+		"database": db, "peer": m.spec.Name, "misses": misses,
+	}).WithError(err).Warn("primary did not answer")
+}
+
+func (e *events) memberChanged(db entity.Database, m Member) {
+	e.state("upstream_listed", logrus.Fields{
+		"database": db, "peer": m.Name, "address": m.Address, "leaving": m.Leaving, "primary": m.Primary,
+		"availability_zone": m.AvailabilityZone, "slots": m.Slots,
+	})
+}
+
+func (e *events) memberMissing(db entity.Database, name entity.Upstream) {
+	e.state("upstream_missing", logrus.Fields{"database": db, "peer": name})
+}
+
+func (e *events) memberGone(db entity.Database, name entity.Upstream) {
+	e.state("upstream_gone", logrus.Fields{"database": db, "peer": name})
+}
+
+func (e *events) memberFailed(db entity.Database, name entity.Upstream, step string, err error) {
+	e.limited("upstream_failed", step, string(name), logrus.Fields{"database": db}, err)
+}
+
+func (e *events) storeFailed(step string, err error) {
+	e.limited("store_failed", step, "store", nil, err)
+}
+
+func (e *events) storeLost(step string, err error) {
+	e.line("store_lost").WithField("step", step).WithError(err).Warn("store does not answer")
+}
+
+func (e *events) storeRegained(after time.Duration) {
+	e.state("store_regained", logrus.Fields{"after_ms": after.Milliseconds()})
+}
+
+func (e *events) entryProblem(key string, err error) {
+	e.limited("entry_refused", "decode", key, nil, err)
+}
+
+// limited logs a failure that may go on for long, at most once per
+// telemetry.RepeatInterval.
+func (e *events) limited(event, step, peer string, fields logrus.Fields, err error) {
+	omitted, ok := e.repeats.Admit(time.Now(), telemetry.Problem{Event: event, Step: step, Peer: peer})
+	if !ok {
+		return
+	}
+	e.line(event).WithFields(fields).WithFields(logrus.Fields{"step": step, "peer": peer, "omitted": omitted}).
+		WithError(err).Warn("step failed")
+}
+
+func (e *events) documentInForce(version uint64, routes int, outdated bool) {
+	e.state("document_in_force", logrus.Fields{"version": version, "routes": routes, "outdated": outdated})
+}
+
+func (e *events) proxiesChanged(count int) {
+	e.state("proxies_changed", logrus.Fields{"proxies": count})
+}
+
+func (e *events) takeoverBegan(db entity.Database, reason string, fence uint64) {
+	e.state("takeover_began", logrus.Fields{"database": db, "reason": reason, "fence": fence})
+}
+
+func (e *events) takeoverStep(db entity.Database, d takeover.Decision, fence uint64) {
+	e.line("takeover_step").WithFields(logrus.Fields{
+		"database": db, "decision": d.Step, "target": d.Target, "reason": d.Reason, "term": d.Term, "fence": fence,
+	}).Info("takeover decided")
+}
+
+func (e *events) takeoverEnded(db entity.Database, fence uint64) {
+	e.state("takeover_given_up", logrus.Fields{"database": db, "fence": fence})
+}
+
+func (e *events) promoted(db entity.Database, target entity.Upstream, fence uint64, err error) {
+	fields := logrus.Fields{"database": db, "peer": target, "fence": fence}
+	if err != nil {
+		e.line("promotion_ordered").WithFields(fields).WithError(err).Warn("promotion call failed")
+		return
+	}
+	e.state("promotion_ordered", fields)
+}
--- /dev/null
+++ b/internal/managed/member.go
@@ -0,0 +1,108 @@
+package managed
+
+import (
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+const (
+	// failurePause is how long a member that failed gets no new work, doubled
+	// with each further failure up to maxFailurePause.
+	failurePause    = 50 * time.Millisecond
+	maxFailurePause = 400 * time.Millisecond
+	// connectionLimitPause is how long no connection is opened after the member
+	// reported that all of its connections are taken.
+	connectionLimitPause = 200 * time.Millisecond
+	// busyPause is how long a member that shed a statement gets no new work.
+	busyPause = 10 * time.Millisecond
+	// lagPause is how long a replica that lacked a floor gets no reads. Replicas
+	// are usually 20 to 60 ms behind.
+	lagPause = 100 * time.Millisecond
+	// missingGrace is how long a member whose entry was removed is still used.
+	// Entries that lapsed with the store are back within 2 s of its return.
+	missingGrace = 2500 * time.Millisecond
+)
+
+// member is one upstream as this proxy uses it. The database's mutex guards it.
+type member struct {
+	spec     Member
+	distance int
+	idle     []*link
+	// open counts the pooled connections, those being opened included.
+	open int
+	// running counts the statements in flight.
+	running int
+	// failures counts failed connections since the last answer.
+	failures    int
+	failedSince entity.Time
+	silent      bool
+	pauseUntil  entity.Time
+	lagUntil    entity.Time
+	fullUntil   entity.Time
+	// leavingSince and missingSince are zero while the member is neither.
+	leavingSince, missingSince entity.Time
+	gone                       bool
+	latency                    time.Duration
+}
+
+// available reports whether the member takes another statement at all.
+func (m *member) available(at entity.Time) bool {
+	return !m.gone && at >= m.pauseUntil
+}
+
+// hasConnection reports whether a connection is idle or may be opened.
+func (m *member) hasConnection(at entity.Time, share int) bool {
+	if len(m.idle) > 0 {
+		return true
+	}
+	return m.open < share && at >= m.fullUntil
+}
+
+// takeIdle returns the idle link that fits the settings best, nil if none is idle.
+func (m *member) takeIdle(settings string) *link {
+	n := len(m.idle)
+	if n == 0 {
+		return nil
+	}
+	best := n - 1
+	for i := n - 1; i >= 0; i-- {
+		if m.idle[i].settings == settings {
+			best = i
+			break
+		}
+		if m.idle[i].settings == "" && m.idle[best].settings != "" {
+			best = i
+		}
+	}
+	l := m.idle[best]
+	m.idle = append(m.idle[:best], m.idle[best+1:]...)
+	return l
+}
+
+// failed notes a connection that could not be opened or that broke. silent
+// failures are those in which the peer did not answer at all.
+func (m *member) failed(at entity.Time, silent bool) {
+	if m.failures == 0 {
+		m.failedSince = at
+		m.silent = silent
+	}
+	m.failures++
+	m.silent = m.silent && silent
+	m.pauseUntil = at.Add(min(failurePause<<min(m.failures, 4), maxFailurePause))
+}
+
+// answered notes that the member is reachable.
+func (m *member) answered() {
+	m.failures = 0
+	m.pauseUntil = 0
+}
+
+// observeLatency averages the time of statements over about ten.
+func (m *member) observeLatency(took time.Duration) {
+	if m.latency == 0 {
+		m.latency = took
+		return
+	}
+	m.latency += (took - m.latency) / 10
+}
--- /dev/null
+++ b/internal/managed/proxy.go
@@ -0,0 +1,288 @@
+package managed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"skylarkhinge.dev/skylarkhinge/config"
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/flood"
+)
+
+// Options are what a proxy is made of.
+type Options struct {
+	Settings *config.ManagedSettings
+	Store    Store
+	Protocol Protocol
+	Promoter Promoter
+	// NewCaller returns the protocol of an accepted connection.
+	NewCaller func(net.Conn) Caller
+	// Regions has the region of each availability zone.
+	Regions map[string]string
+	Log     *logrus.Logger
+}
+
+// Proxy is the daemon.
+type Proxy struct {
+	options Options
+	events  *events
+	drain   drainSchedule
+
+	current atomic.Pointer[Document]
+
+	mu        sync.Mutex
+	databases map[entity.Database]*database
+	// byMember has the database of each listed upstream.
+	byMember map[entity.Upstream]*database
+	proxies  proxyCount
+	sessions map[*session]struct{}
+	ctx      context.Context
+}
+
+// New returns a proxy that is not serving yet.
+func New(options Options) *Proxy {
+	p := &Proxy{
+		options:   options,
+		events:    newEvents(options.Log, options.Settings.LogLinesPerSecond),
+		databases: map[entity.Database]*database{},
+		byMember:  map[entity.Upstream]*database{},
+		sessions:  map[*session]struct{}{},
+		proxies:   proxyCount{names: map[string]struct{}{}},
+		ctx:       context.Background(),
+	}
+	p.drain.grace = options.Settings.ShutdownGrace
+	p.current.Store(&Document{})
+	return p
+}
+
+func (p *Proxy) document() *Document { return p.current.Load() }
+
+func (p *Proxy) route(host string) (Route, bool) {
+	r, ok := p.document().Routes[host]
+	return r, ok
+}
+
+// database returns a database, and begins to follow it if it is new.
+func (p *Proxy) database(name entity.Database) *database {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.databaseLocked(name)
+}
+
+func (p *Proxy) databaseLocked(name entity.Database) *database {
+	d, ok := p.databases[name]
+	if !ok {
+		d = newDatabase(p, name)
+		p.databases[name] = d
+		d.mu.Lock()
+		d.limits = p.document().Databases[name]
+		d.scheduler.SetPolicy(policyOf(p.document()))
+		d.applyShare(p.proxies.count())
+		d.mu.Unlock()
+		go d.scout.run(p.ctx)
+	}
+	return d
+}
+
+// Ready returns why the proxy takes no callers, empty if it does.
+func (p *Proxy) Ready() string {
+	switch {
+	case p.drain.active():
+		return "shutting down"
+	case p.document().Version == 0:
+		return "no configuration yet"
+	}
+	return ""
+}
+
+// Serve runs the proxy until a shutdown has ended. The listener is closed.
+func (p *Proxy) Serve(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.mu.Lock()
+	p.ctx = ctx
+	p.mu.Unlock()
+	synced := make(chan struct{})
+	go func() {
+		defer close(synced)
+		newStoreSync(p).run(ctx)
+	}()
+	go p.summarise(ctx)
+	accepted := make(chan error, 1)
+	go func() { accepted <- p.accept(listener) }()
+	err := p.awaitShutdown(ctx, accepted)
+	// Nothing depends on the listener any more.
+	_ = listener.Close()
+	cancel()
+	<-synced
+	return err
+}
+
+// summaryInterval is the time between lines that count what was left out.
+const summaryInterval = 5 * time.Second
+
+func (p *Proxy) summarise(ctx context.Context) {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.events.summary()
+		}
+	}
+}
+
+func (p *Proxy) accept(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if isClosed(err) {
+				return nil
+			}
+			p.events.limited("accept_failed", "accept", "", nil, err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		go p.serveCaller(conn)
+	}
+}
+
+// acceptPause follows a failed accept, which is mostly a lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+func (p *Proxy) serveCaller(conn net.Conn) {
+	s := &session{proxy: p, caller: p.options.NewCaller(conn)}
+	p.mu.Lock()
+	p.sessions[s] = struct{}{}
+	p.mu.Unlock()
+	s.serve()
+	p.mu.Lock()
+	delete(p.sessions, s)
+	p.mu.Unlock()
+}
+
+// Drain begins a graceful shutdown.
+func (p *Proxy) Drain() {
+	if p.drain.begin() {
+		p.events.state("shutdown_began", logrus.Fields{"grace_ms": p.drain.grace.Milliseconds()})
+	}
+}
+
+// drainPoll is how often an ending proxy looks for open sessions.
+const drainPoll = 50 * time.Millisecond
+
+func (p *Proxy) awaitShutdown(ctx context.Context, accepted <-chan error) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	interrupted := false
+	for {
+		select {
+		case err := <-accepted:
+			return oops.With("step", "accept").Wrap(err)
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if !p.drain.handingOver() {
+			continue
+		}
+		if !interrupted {
+			p.interruptSessions()
+			interrupted = true
+		}
+		if open := p.openSessions(); open == 0 || time.Now().After(p.drain.exitBy()) {
+			p.events.state("shutdown_ended", logrus.Fields{"sessions": open})
+			return nil
+		}
+	}
+}
+
+func (p *Proxy) openSessions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
+
+func (p *Proxy) interruptSessions() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		if err := s.caller.Interrupt(); err != nil && !isClosed(err) {
+			p.events.limited("interrupt_failed", "shutdown", "", nil, err)
+		}
+	}
+}
+
+// keptShares are the parts of slot time that ranks get while they have work,
+// most urgent first. Less urgent ranks keep a little, so that a flood of urgent
+// work does not shut them out; ranks past the list have none.
+var keptShares = [...]float64{0.5, 0.2, 0.1}
+
+// maxQueued bounds the queue of one database. At the statements' usual cost, more
+// cannot be served within their deadlines.
+const maxQueued = 400
+
+// policyOf derives the scheduler's policy from the routes in force.
+func policyOf(doc *Document) flood.Policy {
+	policy := flood.Policy{MaxQueued: maxQueued}
+	for _, r := range doc.Routes {
+		rank := min(r.Rank, maxRanks-1)
+		for len(policy.Ranks) <= rank {
+			policy.Ranks = append(policy.Ranks, flood.RankPolicy{})
+		}
+		if target := policy.Ranks[rank].Target; target == 0 || r.TargetLatency < target {
+			policy.Ranks[rank].Target = r.TargetLatency
+		}
+	}
+	for i := range policy.Ranks {
+		if i < len(keptShares) {
+			policy.Ranks[i].KeptShare = keptShares[i]
+		}
+	}
+	return policy
+}
+
+// maxRanks bounds the ranks that the routes may ask for.
+const maxRanks = 16
+
+// setDocument brings a configuration into force. Versions never go back.
+func (p *Proxy) setDocument(doc *Document) {
+	if doc.Version <= p.document().Version {
+		if doc.Version < p.document().Version {
+			p.events.documentInForce(doc.Version, len(doc.Routes), true)
+		}
+		return
+	}
+	p.current.Store(doc)
+	p.events.documentInForce(doc.Version, len(doc.Routes), false)
+	policy := policyOf(doc)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range doc.Databases {
+		p.databaseLocked(name)
+	}
+	for name, d := range p.databases {
+		d.mu.Lock()
+		d.limits = doc.Databases[name]
+		d.scheduler.SetPolicy(policy)
+		d.applyShare(p.proxies.count())
+		d.mu.Unlock()
+	}
+}
+
+// applyShares sets every database's connections after the number of proxies changed.
+func (p *Proxy) applyShares() {
+	for _, d := range p.databases {
+		d.mu.Lock()
+		d.applyShare(p.proxies.count())
+		d.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/managed/scout.go
@@ -0,0 +1,371 @@
+package managed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+const (
+	// scoutInterval is the time between looks at a database that is well.
+	scoutInterval = 250 * time.Millisecond
+	// doubtInterval is the same while the primary is in doubt.
+	doubtInterval = 100 * time.Millisecond
+	// probeTimeout bounds one status call, a new connection included. On a busy
+	// upstream in another region it takes up to 250 ms.
+	probeTimeout = 450 * time.Millisecond
+	// refusedMisses and silentMisses are the failed status calls after which a
+	// primary counts as lost: one that refuses connections is down for certain.
+	refusedMisses = 2
+	silentMisses  = 2
+	// leaderlessWait is how long no member may claim to lead before a takeover.
+	leaderlessWait = 700 * time.Millisecond
+	// proofAge is the age at which the newest proof is renewed while reads come.
+	proofAge = 500 * time.Millisecond
+	// readsRecent is how long reads count as coming.
+	readsRecent = 3 * time.Second
+	// stallWindow is the time within which a healthy primary's replicas receive
+	// something if writes wait.
+	stallWindow = 300 * time.Millisecond
+)
+
+// scout watches one database: who leads it, whether the leader is well, and how
+// fresh the newest proof is.
+type scout struct {
+	db       *database
+	wakeup   chan struct{}
+	doubtful atomic.Bool
+	// claimant is a member whose entry claims the lead.
+	claimant atomic.Pointer[member]
+	// misses counts failed status calls in a row, silent those without any answer.
+	misses, silent  int
+	leaderlessSince entity.Time
+	nextTakeover    entity.Time
+}
+
+func newScout(d *database) *scout {
+	return &scout{db: d, wakeup: make(chan struct{}, 1)}
+}
+
+// wake makes the scout look at once.
+func (s *scout) wake() {
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// doubt makes the scout check the primary.
+func (s *scout) doubt() {
+	s.doubtful.Store(true)
+	s.wake()
+}
+
+func (s *scout) run(ctx context.Context) {
+	timer := time.NewTimer(scoutInterval)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		pause := s.look()
+		timer.Reset(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.wakeup:
+		}
+	}
+}
+
+// look checks the database once and returns the time until the next look.
+func (s *scout) look() time.Duration {
+	d := s.db
+	at := now()
+	s.checkClaimant()
+	d.mu.Lock()
+	d.forgetMissing(at)
+	leader := d.leader
+	leaving := leader != nil && leader.leavingSince != 0
+	failing := leader != nil && (leader.failures > 0 || leader.gone)
+	known := len(d.members)
+	d.mu.Unlock()
+	switch {
+	case known == 0:
+		return scoutInterval
+	case leader == nil:
+		s.findLeader(at)
+		return doubtInterval
+	case failing || s.doubtful.Load():
+		s.checkLeader(leader)
+		return doubtInterval
+	case leaving:
+		s.takeOver(true, "leaving")
+		return doubtInterval
+	}
+	s.leaderlessSince = 0
+	s.renewProof(at)
+	return scoutInterval
+}
+
+// forgetMissing drops members whose entries stayed away. The mutex is held.
+func (d *database) forgetMissing(at entity.Time) {
+	for name, m := range d.members {
+		if m.missingSince == 0 || at.Sub(m.missingSince) < missingGrace {
+			continue
+		}
+		m.gone = true
+		for _, l := range m.idle {
+			d.dropLocked(l)
+		}
+		m.idle = nil
+		delete(d.members, name)
+		d.proxy.events.memberGone(d.name, name)
+	}
+}
+
+// renewProof proves the primary over an idle connection if reads need it.
+func (s *scout) renewProof(at entity.Time) {
+	d := s.db
+	d.mu.Lock()
+	due := at.Sub(d.lastRead) < readsRecent && d.lastRead != 0 && at.Sub(d.history.Newest().Sent) > proofAge
+	var l *link
+	if due && d.leader != nil {
+		l = d.leader.takeIdle("")
+	}
+	d.mu.Unlock()
+	if l == nil {
+		return
+	}
+	_, err := d.prove(l, time.Now().Add(probeTimeout))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		d.putBack(l)
+		return
+	}
+	d.dropLocked(l)
+	d.noteFailure(l.member, now(), err)
+}
+
+// report is one member's answer in a survey.
+type report struct {
+	member *member
+	spec   Member
+	status Status
+	err    error
+}
+
+// leadClaimed notes that a member's entry says that it leads now. The scout asks
+// it, since entries may be out of date.
+func (s *scout) leadClaimed(m *member) {
+	s.claimant.Store(m)
+	s.wake()
+}
+
+// checkClaimant asks a member that claims to lead.
+func (s *scout) checkClaimant() {
+	if m := s.claimant.Swap(nil); m != nil {
+		s.adopt(s.survey(Command{Kind: CommandStatus}, []*member{m}))
+	}
+}
+
+// survey asks members for their status, each over a connection of its own.
+func (s *scout) survey(command Command, members []*member) []report {
+	reports := make([]report, len(members))
+	var wait sync.WaitGroup
+	for i, m := range members {
+		wait.Go(func() { reports[i] = s.ask(m, command) })
+	}
+	wait.Wait()
+	return reports
+}
+
+// busyRetries is how often a status call is repeated at a member without a free slot.
+const busyRetries = 4
+
+func (s *scout) ask(m *member, command Command) report {
+	d := s.db
+	r := report{member: m}
+	d.mu.Lock()
+	r.spec = m.spec
+	l := m.takeIdle("")
+	d.mu.Unlock()
+	deadline := time.Now().Add(probeTimeout)
+	if l != nil {
+		// An idle connection may have gone silent; it gets a part of the time.
+		r.status, r.err = s.askOver(l, command, time.Now().Add(probeTimeout/3))
+		if r.err == nil {
+			return r
+		}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(probeTimeout/3))
+	defer cancel()
+	l, r.err = dialLink(ctx, d.proxy.options.Protocol, m, r.spec)
+	if r.err != nil {
+		return r
+	}
+	r.status, r.err = s.askOver(l, command, deadline.Add(probeTimeout/3))
+	return r
+}
+
+// askOver sends one status command and gives the link back.
+func (s *scout) askOver(l *link, command Command, deadline time.Time) (Status, error) {
+	d := s.db
+	var status Status
+	var err error
+	for range busyRetries {
+		status, err = l.status(d.proxy.options.Protocol, deadline, command)
+		var refused *Refused
+		if !errors.As(err, &refused) || refused.Code != CodeBusy {
+			break
+		}
+		time.Sleep(retryPause)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.dropLocked(l)
+		return status, err
+	}
+	l.member.answered()
+	d.putBack(l)
+	return status, nil
+}
+
+// all returns the members of the database.
+func (d *database) all() []*member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	members := make([]*member, 0, len(d.members))
+	for _, m := range d.members {
+		members = append(members, m)
+	}
+	return members
+}
+
+// findLeader looks for the member that leads the newest term.
+func (s *scout) findLeader(at entity.Time) {
+	if s.leaderlessSince == 0 {
+		s.leaderlessSince = at
+	}
+	reports := s.survey(Command{Kind: CommandStatus}, s.db.all())
+	if s.adopt(reports) {
+		s.leaderlessSince = 0
+		return
+	}
+	if now().Sub(s.leaderlessSince) > leaderlessWait {
+		s.takeOver(false, "no member leads")
+	}
+}
+
+// adopt makes the member with the newest term that leads the believed primary.
+func (s *scout) adopt(reports []report) bool {
+	var best *report
+	for i := range reports {
+		r := &reports[i]
+		if r.err == nil && r.status.Primary && (best == nil || best.status.Term < r.status.Term) {
+			best = r
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d := s.db
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if best.status.Term < d.leaderTerm {
+		return false
+	}
+	s.misses, s.silent = 0, 0
+	s.doubtful.Store(false)
+	d.setLeader(best.member, best.status.Term, "survey")
+	return true
+}
+
+// checkLeader asks the believed primary, and the others if it does not answer.
+func (s *scout) checkLeader(leader *member) {
+	began := now()
+	reports := s.survey(Command{Kind: CommandStatus}, []*member{leader})
+	r := reports[0]
+	if r.err == nil && r.status.Primary {
+		s.misses, s.silent = 0, 0
+		s.leaderWell(leader, r.status)
+		return
+	}
+	if r.err == nil {
+		s.db.mu.Lock()
+		s.db.setLeader(nil, s.db.leaderTerm, "reports replica")
+		s.db.mu.Unlock()
+		return
+	}
+	if took := now().Sub(began); took > 2*probeTimeout {
+		// This VM stood still, so the silence proves nothing.
+		return
+	}
+	var refused *Refused
+	if errors.As(r.err, &refused) && (refused.Code == CodeConnectionLimit || refused.Code == CodeBusy) {
+		// It answers, but its connections or slots are taken.
+		return
+	}
+	s.misses++
+	if isTimeout(r.err) {
+		s.silent++
+	}
+	s.db.proxy.events.leaderMissed(s.db.name, leader, s.misses, r.err)
+	limit := refusedMisses
+	if s.silent > 0 {
+		limit = silentMisses
+	}
+	if s.misses >= limit {
+		s.takeOver(false, "primary does not answer")
+	}
+}
+
+// leaderWell ends the doubt about a primary that answers, unless its replicas
+// receive nothing of what it holds: then it cannot acknowledge a commit.
+func (s *scout) leaderWell(leader *member, first Status) {
+	if !s.doubtful.Load() {
+		return
+	}
+	if s.db.limits.SyncReplicas == 0 || !s.stalled(leader, first) {
+		s.doubtful.Store(false)
+		return
+	}
+	s.takeOver(false, "primary does not replicate")
+}
+
+func (s *scout) stalled(leader *member, first Status) bool {
+	before, ok := s.furthestReplica(leader)
+	if !ok || !before.Less(first.Received) {
+		return false
+	}
+	time.Sleep(stallWindow)
+	after, ok := s.furthestReplica(leader)
+	return ok && after == before
+}
+
+// furthestReplica returns the highest position received by a replica. It reports
+// false if no replica answers.
+func (s *scout) furthestReplica(leader *member) (entity.Position, bool) {
+	var furthest entity.Position
+	found := false
+	for _, r := range s.survey(Command{Kind: CommandStatus}, s.db.all()) {
+		if r.member == leader || r.err != nil {
+			continue
+		}
+		found = true
+		if furthest.Less(r.status.Received) {
+			furthest = r.status.Received
+		}
+	}
+	return furthest, found
+}
+
+// takeoverPause spreads the proxies' attempts, so that one of them holds the
+// claim before the others ask for it.
+func takeoverPause() time.Duration {
+	return 150*time.Millisecond + rand.N(250*time.Millisecond)
+}
--- /dev/null
+++ b/internal/managed/session.go
@@ -0,0 +1,187 @@
+package managed
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+// startTimeout bounds the wait for a caller's first message.
+const startTimeout = 10 * time.Second
+
+// session serves one connection of a caller.
+type session struct {
+	proxy  *Proxy
+	caller Caller
+	host   string
+	state  sessionState
+
+	// tx is the open or failed transaction, nil if there is none.
+	tx *transaction
+}
+
+// serve runs the session until the caller leaves.
+func (s *session) serve() {
+	defer s.close()
+	if !s.start() {
+		return
+	}
+	for {
+		message, err := s.caller.Receive(s.receiveDeadline())
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if !s.idleEnded() {
+				return
+			}
+			continue
+		case errors.Is(err, ErrMalformed):
+			s.reject(CodeMalformed, "message cannot be read")
+			return
+		case err != nil || message.Kind == MessageTerminate:
+			return
+		case message.Kind == MessageStart:
+			s.reject(CodeMalformed, "session has already started")
+			return
+		}
+		if !s.run(&message.Statement) {
+			return
+		}
+	}
+}
+
+func (s *session) start() bool {
+	message, err := s.caller.Receive(time.Now().Add(startTimeout))
+	if err != nil {
+		if errors.Is(err, ErrMalformed) {
+			s.reject(CodeMalformed, "message cannot be read")
+		}
+		return false
+	}
+	if message.Kind != MessageStart {
+		s.reject(CodeMalformed, "session has not started")
+		return false
+	}
+	s.host = message.Database
+	if _, ok := s.proxy.route(s.host); !ok {
+		s.reject(CodeUnknownDatabase, "no route for this database")
+		return false
+	}
+	return s.caller.Welcome() == nil
+}
+
+// reject ends the session with an error. The connection closes next, so a
+// failed write has no consequence.
+func (s *session) reject(code Code, text string) { _ = s.caller.Reject(code, text) }
+
+// receiveDeadline bounds the wait for the next statement: of an open transaction
+// by the operators' limit, and while the proxy shuts down by its schedule.
+func (s *session) receiveDeadline() time.Time {
+	pinned := s.tx != nil && s.tx.link != nil
+	deadline := s.proxy.drain.sessionEnd(pinned)
+	if idle := s.proxy.document().TransactionIdle; pinned && idle > 0 {
+		if end := time.Now().Add(idle); deadline.IsZero() || end.Before(deadline) {
+			deadline = end
+		}
+	}
+	return deadline
+}
+
+// idleEnded handles the end of a wait. It reports whether the session goes on.
+func (s *session) idleEnded() bool {
+	deadline := s.receiveDeadline()
+	if end := s.proxy.drain.sessionEnd(s.tx != nil && s.tx.link != nil); !end.IsZero() {
+		return time.Now().Before(end)
+	}
+	if s.tx == nil || s.tx.link == nil || deadline.IsZero() {
+		return true
+	}
+	s.tx.abandon()
+	s.tx.fail("transaction was idle for too long")
+	return true
+}
+
+func (s *session) close() {
+	if s.tx != nil {
+		s.tx.abandon()
+	}
+	// The session is over whatever Close says.
+	_ = s.caller.Close()
+}
+
+// run serves one statement. It reports whether the session goes on.
+func (s *session) run(statement *Statement) bool {
+	arrived := now()
+	reply, state := s.execute(statement, arrived)
+	if reply.Code != CodeNone {
+		s.proxy.events.failed(s, statement, reply, now().Sub(arrived))
+	}
+	if err := s.caller.Answer(reply, state); err != nil {
+		return false
+	}
+	// A close between statements is no failure, so a draining proxy hands its
+	// sessions on at the next answer.
+	return !s.proxy.drain.handingOver() || state != StateIdle
+}
+
+func (s *session) execute(statement *Statement, arrived entity.Time) (Reply, TransactionState) {
+	if statement.Kind == StatementInvalid {
+		return failure(CodeMalformed, "statement is unknown"), s.transactionState()
+	}
+	if s.tx != nil {
+		return s.tx.execute(statement, arrived)
+	}
+	switch statement.Kind {
+	case StatementBegin, StatementBeginRead:
+		return s.begin(statement)
+	case StatementCommit, StatementRollback:
+		return failure(CodeMalformed, "no transaction is open"), StateIdle
+	case StatementRead, StatementWrite, StatementExecute:
+		return s.single(statement, arrived), StateIdle
+	}
+	return s.local(statement), StateIdle
+}
+
+func (s *session) transactionState() TransactionState {
+	if s.tx == nil {
+		return StateIdle
+	}
+	return s.tx.state
+}
+
+// local answers statements that concern the session alone.
+func (s *session) local(statement *Statement) Reply {
+	switch statement.Kind {
+	case StatementSet:
+		if !s.state.set(statement.Name, statement.Value) {
+			return failure(CodeTooLarge, fmt.Sprintf("session has more than %d values", maxSessionValues))
+		}
+	case StatementPrepare:
+		if !s.state.prepare(statement.Name, preparedStatement{statement.Value, statement.Writes}) {
+			return failure(CodeTooLarge, fmt.Sprintf("session has more than %d prepared statements", maxSessionPrepared))
+		}
+	case StatementClose:
+		delete(s.state.prepared, statement.Name)
+	}
+	return Reply{}
+}
+
+func (s *session) begin(statement *Statement) (Reply, TransactionState) {
+	route, ok := s.proxy.route(s.host)
+	if !ok {
+		return failure(CodeUnknownDatabase, "no route for this database"), StateIdle
+	}
+	s.tx = &transaction{
+		session: s, route: route, db: s.proxy.database(route.Database),
+		readOnly: statement.Kind == StatementBeginRead, state: StateOpen,
+	}
+	return Reply{}, StateOpen
+}
+
+func failure(code Code, text string) Reply { return Reply{Code: code, Text: text} }
+
+// isClosed reports whether an error means that a connection was closed locally.
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/managed/sync.go
@@ -0,0 +1,256 @@
+package managed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+const (
+	// watchWait is how long the store holds a watch without changes. A store that
+	// went silent is noticed within watchWait and watchSlack.
+	watchWait  = 2500 * time.Millisecond
+	watchSlack = 900 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call.
+	retryMin = 50 * time.Millisecond
+	retryMax = 800 * time.Millisecond
+	// vmPrefix is before the keys of the proxies that run.
+	vmPrefix = "vm/"
+	// vmTTL is the time after which a lost proxy's share of connections is free.
+	vmTTL = 6 * time.Second
+	// vmRenewal is the time between renewals; two may fail.
+	vmRenewal = 1900 * time.Millisecond
+)
+
+// proxyCount knows the proxies that share the upstreams' connections.
+type proxyCount struct {
+	names map[string]struct{}
+	// peak is the highest recent count. Entries can vanish together, and the
+	// shares must not grow until that has lasted.
+	peak      int
+	peakSince time.Time
+}
+
+// peakHold is how long a higher count outlasts the entries.
+const peakHold = 8 * time.Second
+
+func (c *proxyCount) count() int { return max(1, c.peak, len(c.names)) }
+
+// update takes the number of entries into account. It reports whether count changed.
+func (c *proxyCount) update(at time.Time) bool {
+	before := c.count()
+	if n := len(c.names); n >= c.peak || at.Sub(c.peakSince) > peakHold {
+		c.peak, c.peakSince = n, at
+	}
+	return c.count() != before
+}
+
+// storeSync keeps the proxy's view of the store: the configuration, the
+// upstreams, the other proxies and the takeovers.
+type storeSync struct {
+	proxy    *Proxy
+	revision uint64
+	lost     time.Time
+	lease    uint64
+	// listed is set while the own entry is in the store, as far as known.
+	reregister chan struct{}
+}
+
+func newStoreSync(p *Proxy) *storeSync {
+	return &storeSync{proxy: p, reregister: make(chan struct{}, 1)}
+}
+
+func (s *storeSync) run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.keepListed(ctx)
+	}()
+	s.follow(ctx)
+	<-done
+}
+
+// follow lists the store once and then watches it.
+func (s *storeSync) follow(ctx context.Context) {
+	pause := retryMin
+	for ctx.Err() == nil {
+		err := s.step(ctx)
+		if err == nil {
+			pause = retryMin
+			s.regained()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			s.revision = 0
+			continue
+		}
+		if s.lost.IsZero() {
+			s.lost = time.Now()
+			s.proxy.events.storeLost("follow", err)
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMax)
+	}
+}
+
+func (s *storeSync) regained() {
+	if !s.lost.IsZero() {
+		s.proxy.events.storeRegained(time.Since(s.lost))
+		s.lost = time.Time{}
+	}
+}
+
+func (s *storeSync) step(ctx context.Context) error {
+	if s.revision == 0 {
+		return s.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changes, revision, err := s.proxy.options.Store.Watch(ctx, s.revision, watchWait)
+	if err != nil {
+		return err
+	}
+	s.apply(changes)
+	s.revision = revision
+	return nil
+}
+
+// list reads everything. What is not listed counts as removed.
+func (s *storeSync) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	changes, revision, err := s.proxy.options.Store.List(ctx)
+	if err != nil {
+		return err
+	}
+	s.proxy.markUnlisted(changes)
+	s.apply(changes)
+	s.revision = revision
+	return nil
+}
+
+func (s *storeSync) apply(changes []Change) {
+	p := s.proxy
+	for i := range changes {
+		c := &changes[i]
+		switch {
+		case c.Problem != nil:
+			p.events.entryProblem(string(c.MemberName), c.Problem)
+		case c.Document != nil:
+			p.setDocument(c.Document)
+		case c.Member != nil:
+			p.putMember(*c.Member)
+		case c.MemberName != "":
+			p.removeMember(c.MemberName)
+		case strings.HasPrefix(c.Key, vmPrefix):
+			s.applyProxy(c)
+		case strings.HasPrefix(c.Key, claimPrefix):
+			name := entity.Database(c.Key[len(claimPrefix):])
+			p.database(name).noteClaim(c.Value, c.Revision, c.Removed)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.proxies.update(time.Now()) {
+		p.events.proxiesChanged(p.proxies.count())
+		p.applyShares()
+	}
+}
+
+func (s *storeSync) applyProxy(c *Change) {
+	p := s.proxy
+	name := c.Key[len(vmPrefix):]
+	p.mu.Lock()
+	if c.Removed {
+		delete(p.proxies.names, name)
+	} else {
+		p.proxies.names[name] = struct{}{}
+	}
+	p.mu.Unlock()
+	if c.Removed && name == p.options.Settings.VM {
+		select {
+		case s.reregister <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// keepListed keeps the proxy's own entry in the store until ctx ends.
+func (s *storeSync) keepListed(ctx context.Context) {
+	listed := false
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.unlist()
+			return
+		case <-s.reregister:
+			// The entry vanished although its lease may go on.
+			listed = false
+		case <-timer.C:
+		}
+		if err := s.keepOnce(ctx, listed); err != nil {
+			if errors.Is(err, ErrNoLease) {
+				s.lease = 0
+			}
+			listed = false
+			s.proxy.events.storeFailed("register", err)
+			timer.Reset(retryMax/2 + rand.N(retryMax))
+			continue
+		}
+		listed = true
+		timer.Reset(vmRenewal)
+	}
+}
+
+func (s *storeSync) keepOnce(ctx context.Context, listed bool) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	store := s.proxy.options.Store
+	if listed {
+		return store.KeepLease(ctx, s.lease)
+	}
+	if s.lease == 0 {
+		lease, err := store.GrantLease(ctx, vmTTL)
+		if err != nil {
+			return err
+		}
+		s.lease = lease
+	}
+	key := vmPrefix + s.proxy.options.Settings.VM
+	_, revision, err := store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	_, err = store.Put(ctx, key, []byte(s.proxy.options.Settings.AvailabilityZone), revision, s.lease)
+	return err
+}
+
+// unlist gives the share of connections back at once.
+func (s *storeSync) unlist() {
+	if s.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin)
+	defer cancel()
+	if err := s.proxy.options.Store.EndLease(ctx, s.lease); err != nil {
+		s.proxy.events.storeFailed("unregister", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
