Share an upstream's connections by the count of proxies

Cause: the count of proxies was compared with itself after the change, so no change was ever seen and each proxy took the connections of all. Change: the count in force is kept apart from the entries; surplus idle connections close when the share shrinks.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -206,7 +206,7 @@
 func (d *database) putBack(l *link) {
 	m := l.member
 	l.lastUsed = now()
-	if m.gone || !l.pooled || len(l.prepared) > maxPreparedPerLink {
+	if m.gone || !l.pooled || m.open > d.share || len(l.prepared) > maxPreparedPerLink {
 		d.dropLocked(l)
 		return
 	}
@@ -254,6 +254,10 @@
 		if !m.gone {
 			readers++
 		}
+		for m.open > d.share && len(m.idle) > 0 {
+			d.dropLocked(m.idle[0])
+			m.idle = m.idle[1:]
+		}
 	}
 	d.scheduler.SetSlots(flood.LanePrimary, d.share)
 	d.scheduler.SetSlots(flood.LaneReplica, max(1, readers)*d.share)
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -203,11 +203,12 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(probeTimeout/3))
 	defer cancel()
-	l, r.err = dialLink(ctx, d.proxy.options.Protocol, m, r.spec)
+	if l, r.err = dialLink(ctx, d.proxy.options.Protocol, m, r.spec); r.err == nil {
+		r.status, r.err = s.askOver(l, command, deadline.Add(probeTimeout/3))
+	}
 	if r.err != nil {
-		return r
+		d.proxy.events.memberFailed(d.name, r.spec.Name, "status", r.err)
 	}
-	r.status, r.err = s.askOver(l, command, deadline.Add(probeTimeout/3))
 	return r
 }
 
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -38,7 +38,7 @@
 // peakHold is how long a higher count outlasts the entries.
 const peakHold = 8 * time.Second
 
-func (c *proxyCount) count() int { return max(1, c.peak, len(c.names)) }
+func (c *proxyCount) count() int { return max(1, c.peak) }
 
 // update takes the number of entries into account. It reports whether count changed.
 func (c *proxyCount) update(at time.Time) bool {
--- /dev/null
+++ b/internal/managed/sync_test.go
@@ -0,0 +1,33 @@
+package managed
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against proxies that each take the connections of all of them: a change
+// of the count went unnoticed because it was compared with itself.
+func TestProxyCountReportsChanges(t *testing.T) {
+	at := time.Unix(100, 0)
+	c := proxyCount{names: map[string]struct{}{}}
+	assert.Equal(t, c.count(), 1)
+	c.names["a"], c.names["b"], c.names["c"] = struct{}{}, struct{}{}, struct{}{}
+	assert.Assert(t, c.update(at))
+	assert.Equal(t, c.count(), 3)
+	assert.Assert(t, !c.update(at))
+}
+
+// Guards against shares that grow when all entries vanish together, as they do
+// when the store revokes leases.
+func TestProxyCountOutlastsVanishedEntries(t *testing.T) {
+	at := time.Unix(100, 0)
+	c := proxyCount{names: map[string]struct{}{"a": {}, "b": {}}}
+	c.update(at)
+	clear(c.names)
+	assert.Assert(t, !c.update(at.Add(peakHold)))
+	assert.Equal(t, c.count(), 2)
+	assert.Assert(t, c.update(at.Add(peakHold+time.Second)))
+	assert.Equal(t, c.count(), 1)
+}
