Recover faster after all proxies lost power

Cause: connections of a proxy that lost power count at the upstream for 3 s more, so its successor found no room, not even for a status call, and looked for a primary that it could not ask. Change: connections beyond the first close after 4 s idle; the upstream whose entry claims the lead is used at once, since all work there proves the lead or is refused; a full upstream is no sign that nobody leads; a new session waits for the first configuration instead of being refused.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -266,3 +266,26 @@
 // reservedConnections of each member are left to status calls and takeovers, so
 // that a promotion is possible while every proxy uses its share.
 const reservedConnections = 4
+
+// poolUsage is a database's use of connections and its queue at one instant.
+type poolUsage struct {
+	database                    entity.Database
+	share, open, idle, running  int
+	primaryOpen, primaryRunning int
+	queued                      int
+}
+
+func (d *database) usage() poolUsage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := poolUsage{database: d.name, share: d.share, queued: len(d.waiting)}
+	for _, m := range d.members {
+		u.open += m.open
+		u.idle += len(m.idle)
+		u.running += m.running
+		if m == d.leader {
+			u.primaryOpen, u.primaryRunning = m.open, m.running
+		}
+	}
+	return u
+}
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -98,7 +98,10 @@
 		m.idle = m.idle[:0]
 		m.answered()
 	}
-	claimsLead := spec.Primary && (!known || !m.spec.Primary) && m != d.leader
+	claimsLead := spec.Primary && (!known || !m.spec.Primary || m.missingSince != 0) && m != d.leader
+	if claimsLead {
+		m.denied = false
+	}
 	if spec.Leaving && m.leavingSince == 0 {
 		m.leavingSince = at
 		for _, l := range m.idle {
@@ -117,7 +120,9 @@
 	if changed {
 		d.proxy.events.memberChanged(d.name, spec)
 	}
-	if claimsLead && d.leader != nil {
+	if d.leader == nil {
+		d.adoptListed()
+	} else if claimsLead {
 		d.scout.leadClaimed(m)
 	}
 	if changed {
@@ -139,3 +144,22 @@
 	m.missingSince = now()
 	d.proxy.events.memberMissing(d.name, name)
 }
+
+// adoptListed takes the member whose entry claims the lead for the primary. It is
+// safe to use before it is confirmed: whatever is done there proves the lead or is
+// refused. The mutex is held.
+func (d *database) adoptListed() {
+	var claimant *member
+	for _, m := range d.members {
+		if !m.spec.Primary || m.denied || m.missingSince != 0 || m.failures > 0 {
+			continue
+		}
+		if claimant != nil {
+			return
+		}
+		claimant = m
+	}
+	if claimant != nil {
+		d.setLeader(claimant, d.leaderTerm, "listed")
+	}
+}
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -182,3 +182,10 @@
 	}
 	e.state("promotion_ordered", fields)
 }
+
+func (e *events) pool(u poolUsage) {
+	e.line("pool").WithFields(logrus.Fields{
+		"database": u.database, "share": u.share, "open": u.open, "idle": u.idle, "running": u.running,
+		"primary_open": u.primaryOpen, "primary_running": u.primaryRunning, "queued": u.queued,
+	}).Info("pool in use")
+}
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -43,7 +43,10 @@
 	// leavingSince and missingSince are zero while the member is neither.
 	leavingSince, missingSince entity.Time
 	gone                       bool
-	latency                    time.Duration
+	// denied is set once the member refused to lead, until its entry claims the
+	// lead anew.
+	denied  bool
+	latency time.Duration
 }
 
 // available reports whether the member takes another statement at all.
@@ -59,6 +62,21 @@
 	return m.open < share && at >= m.fullUntil
 }
 
+// idleTimeout is how long a connection beyond the first stays idle. What a proxy
+// that lost power held still counts at the upstream for 3 s, and its successor
+// needs connections at once, so that a pool holds little more than it uses.
+const idleTimeout = 4 * time.Second
+
+// closeIdle closes the connections that the load does not need. The mutex is held.
+func (d *database) closeIdle(at entity.Time) {
+	for _, m := range d.members {
+		for len(m.idle) > 0 && m.open > 1 && at.Sub(m.idle[0].lastUsed) > idleTimeout {
+			d.dropLocked(m.idle[0])
+			m.idle = m.idle[1:]
+		}
+	}
+}
+
 // takeIdle returns the idle link that fits the settings best, nil if none is idle.
 func (m *member) takeIdle(settings string) *link {
 	n := len(m.idle)
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -137,6 +137,7 @@
 func (d *database) noteNotLeading(m *member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m.denied = true
 	if m == d.leader {
 		d.setLeader(nil, d.leaderTerm, "read_only")
 	}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -35,6 +35,8 @@
 	drain   drainSchedule
 
 	current atomic.Pointer[Document]
+	// configured is closed once the first configuration is in force.
+	configured chan struct{}
 
 	mu        sync.Mutex
 	databases map[entity.Database]*database
@@ -55,6 +57,8 @@
 		sessions:  map[*session]struct{}{},
 		proxies:   proxyCount{names: map[string]struct{}{}},
 		ctx:       context.Background(),
+
+		configured: make(chan struct{}),
 	}
 	p.drain.grace = options.Settings.ShutdownGrace
 	p.current.Store(&Document{})
@@ -68,6 +72,22 @@
 	return r, ok
 }
 
+// configurationWait bounds how long a new session waits for the first
+// configuration. Callers give a session up after 2 s.
+const configurationWait = 1600 * time.Millisecond
+
+// awaitRoute returns a route. A proxy that has just started has none yet; callers
+// reach it all the same if no other proxy of the availability zone is ready.
+func (p *Proxy) awaitRoute(host string) (Route, bool) {
+	if p.document().Version == 0 {
+		select {
+		case <-p.configured:
+		case <-time.After(configurationWait):
+		}
+	}
+	return p.route(host)
+}
+
 // database returns a database, and begins to follow it if it is new.
 func (p *Proxy) database(name entity.Database) *database {
 	p.mu.Lock()
@@ -136,10 +156,24 @@
 			return
 		case <-ticker.C:
 			p.events.summary()
+			p.logPools()
 		}
 	}
 }
 
+// logPools logs the use of connections and queues, one line for each database.
+func (p *Proxy) logPools() {
+	p.mu.Lock()
+	databases := make([]*database, 0, len(p.databases))
+	for _, d := range p.databases {
+		databases = append(databases, d)
+	}
+	p.mu.Unlock()
+	for _, d := range databases {
+		p.events.pool(d.usage())
+	}
+}
+
 func (p *Proxy) accept(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
@@ -261,7 +295,11 @@
 		}
 		return
 	}
+	first := p.document().Version == 0
 	p.current.Store(doc)
+	if first {
+		close(p.configured)
+	}
 	p.events.documentInForce(doc.Version, len(doc.Routes), false)
 	policy := policyOf(doc)
 	p.mu.Lock()
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -87,6 +87,7 @@
 	s.checkClaimant()
 	d.mu.Lock()
 	d.forgetMissing(at)
+	d.closeIdle(at)
 	leader := d.leader
 	leaving := leader != nil && leader.leavingSince != 0
 	failing := leader != nil && (leader.failures > 0 || leader.gone)
@@ -252,8 +253,16 @@
 	if s.leaderlessSince == 0 {
 		s.leaderlessSince = at
 	}
+	s.db.mu.Lock()
+	s.db.adoptListed()
+	found := s.db.leader != nil
+	s.db.mu.Unlock()
+	if found {
+		s.leaderlessSince = 0
+		return
+	}
 	reports := s.survey(Command{Kind: CommandStatus}, s.db.all())
-	if s.adopt(reports) {
+	if s.adopt(reports) || anyFull(reports) {
 		s.leaderlessSince = 0
 		return
 	}
@@ -262,6 +271,18 @@
 	}
 }
 
+// anyFull reports whether a member answered that its connections or slots are
+// taken: it may be the primary.
+func anyFull(reports []report) bool {
+	for i := range reports {
+		var refused *Refused
+		if errors.As(reports[i].err, &refused) && (refused.Code == CodeConnectionLimit || refused.Code == CodeBusy) {
+			return true
+		}
+	}
+	return false
+}
+
 // adopt makes the member with the newest term that leads the believed primary.
 func (s *scout) adopt(reports []report) bool {
 	var best *report
@@ -306,9 +327,7 @@
 		// This VM stood still, so the silence proves nothing.
 		return
 	}
-	var refused *Refused
-	if errors.As(r.err, &refused) && (refused.Code == CodeConnectionLimit || refused.Code == CodeBusy) {
-		// It answers, but its connections or slots are taken.
+	if anyFull(reports) {
 		return
 	}
 	s.misses++
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	s.host = message.Database
-	if _, ok := s.proxy.route(s.host); !ok {
+	if _, ok := s.proxy.awaitRoute(s.host); !ok {
 		s.reject(CodeUnknownDatabase, "no route for this database")
 		return false
 	}
