Let concurrent reads share one proof of the primary

Cause: after a restart each read that found no proof got one for itself, so that the primary's queue filled with proofs and reads waited 970 ms. Change: one proof is under way at a time and all reads that need one wait for it.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -29,6 +29,9 @@
 	leader     *member
 	leaderTerm uint64
 	history    freshness.History
+	// proving is closed when the proof that reads wait for has come or failed; nil
+	// if none is under way.
+	proving chan struct{}
 	// lastRead is the last arrival of a read that needs a floor.
 	lastRead entity.Time
 	// claim is the takeover that the store shows, zero if there is none.
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -207,22 +207,55 @@
 func (a *attempt) floor() (entity.Position, bool, Reply) {
 	since := a.arrived.Add(stalenessMargin - a.route.MaxStaleness)
 	for {
-		a.db.mu.Lock()
-		a.db.lastRead = now()
-		position, ok := a.db.history.Floor(since)
-		a.db.mu.Unlock()
+		position, ok, underWay := a.db.floor(since)
 		if ok {
 			if a.route.Consistency == SessionConsistency {
 				position = freshness.Merge(position, a.session.state.written)
 			}
 			return position, true, Reply{}
 		}
-		if reply, final := a.proveAnew(); final {
+		if underWay != nil {
+			select {
+			case <-underWay:
+				continue
+			case <-time.After(a.deadline.Sub(now())):
+				return entity.Position{}, false, failure(CodeBusy, "not run: the primary could not be proven in time")
+			}
+		}
+		reply, final := a.proveAnew()
+		a.db.endProving()
+		if final {
 			return entity.Position{}, false, reply
 		}
 	}
 }
 
+// floor returns the position of the oldest proof sent at or after since. Without
+// one it returns what to wait for, or nil if the caller is to get the proof: one
+// proof serves all reads that wait, and a proof for each of them would keep the
+// primary from its own work when a proxy starts.
+func (d *database) floor(since entity.Time) (position entity.Position, ok bool, underWay <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastRead = now()
+	if position, ok = d.history.Floor(since); ok {
+		return position, true, nil
+	}
+	if d.proving == nil {
+		d.proving = make(chan struct{})
+		return position, false, nil
+	}
+	return position, false, d.proving
+}
+
+// endProving lets the reads go on that wait for the proof.
+func (d *database) endProving() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.proving)
+	d.proving = nil
+}
+
 // stalenessMargin is taken off the staleness bound for the way of the request
 // from the caller, whose clock the bound is measured by.
 const stalenessMargin = 100 * time.Millisecond
