Bound less urgent work in flight by the upstream's slots

Change: less urgent statements in flight are bounded to two for each slot, shared by the proxies that use the member.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -19,12 +19,14 @@
 	limits  DatabaseLimits
 	members map[entity.Upstream]*member
 	// share is how many connections this proxy may hold to one member.
-	share     int
-	scheduler *flood.Scheduler
-	waiting   map[entity.Handle]*waiter
-	handles   entity.Handle
-	timer     *time.Timer
-	refusals  []flood.Refusal
+	share int
+	// proxies shares the upstreams, neighbours of them are in this availability zone.
+	proxies, neighbours int
+	scheduler           *flood.Scheduler
+	waiting             map[entity.Handle]*waiter
+	handles             entity.Handle
+	timer               *time.Timer
+	refusals            []flood.Refusal
 
 	leader     *member
 	leaderTerm uint64
@@ -108,7 +110,7 @@
 func (d *database) dispatch(at entity.Time) {
 	for d.scheduler.Len(flood.LanePrimary) > 0 {
 		m := d.leader
-		if m == nil || !m.available(at) || !m.hasConnection(at, d.share) {
+		if m == nil || !m.available(at) || !m.hasConnection(at, d.share) || m.running >= d.room(m) {
 			break
 		}
 		d.grantNext(at, flood.LanePrimary, m)
@@ -142,7 +144,7 @@
 	var best *member
 	var bestCandidate placement.Candidate
 	for _, m := range d.members {
-		if !m.available(at) || !m.hasConnection(at, d.share) || at < m.lagUntil || m.leavingSince != 0 {
+		if !m.available(at) || !m.hasConnection(at, d.share) || at < m.lagUntil || m.leavingSince != 0 || m.running >= d.room(m) {
 			continue
 		}
 		c := placement.Candidate{
@@ -156,6 +158,24 @@
 	return best
 }
 
+// queueFactor is the number of statements in flight at a member for each of its
+// slots, those of all proxies together. Up to two keep its slots busy across the
+// round trip; more only wait in its queue, which knows no ranks.
+const queueFactor = 2
+
+// room returns how many statements this proxy may have in flight at a member.
+// Urgent work may use every connection. The mutex is held.
+func (d *database) room(m *member) int {
+	if d.scheduler.Queued(0) > 0 {
+		return d.share
+	}
+	sharing := d.proxies
+	if m != d.leader && m.distance == placement.SameZone {
+		sharing = d.neighbours
+	}
+	return max(1, (queueFactor*m.spec.Slots+sharing-1)/sharing)
+}
+
 // arm sets the timer for the next expiry or the end of a pause.
 func (d *database) arm(at entity.Time) {
 	next := d.scheduler.NextExpiry()
@@ -249,9 +269,10 @@
 }
 
 // applyShare sets the connections per member and the slots of the lanes.
-func (d *database) applyShare(proxies int) {
+func (d *database) applyShare(proxies, neighbours int) {
+	d.proxies, d.neighbours = max(1, proxies), max(1, neighbours)
 	usable := d.limits.Connections - reservedConnections
-	d.share = max(1, usable/max(1, proxies))
+	d.share = max(1, usable/d.proxies)
 	readers := 0
 	for _, m := range d.members {
 		if !m.gone {
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -88,7 +88,7 @@
 	if !known {
 		m = &member{spec: spec, distance: distance}
 		d.members[spec.Name] = m
-		d.applyShare(d.proxy.proxies.count())
+		d.applyShare(d.proxy.shareOf())
 	}
 	changed := !known || m.spec != spec || m.missingSince != 0
 	if m.spec.Address != spec.Address || m.spec.Incarnation != spec.Incarnation {
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -55,7 +55,7 @@
 		databases: map[entity.Database]*database{},
 		byMember:  map[entity.Upstream]*database{},
 		sessions:  map[*session]struct{}{},
-		proxies:   proxyCount{names: map[string]struct{}{}},
+		proxies:   proxyCount{names: map[string]string{}},
 		ctx:       context.Background(),
 
 		configured: make(chan struct{}),
@@ -103,7 +103,7 @@
 		d.mu.Lock()
 		d.limits = p.document().Databases[name]
 		d.scheduler.SetPolicy(policyOf(p.document()))
-		d.applyShare(p.proxies.count())
+		d.applyShare(p.shareOf())
 		d.mu.Unlock()
 		go d.scout.run(p.ctx)
 	}
@@ -311,7 +311,7 @@
 		d.mu.Lock()
 		d.limits = doc.Databases[name]
 		d.scheduler.SetPolicy(policy)
-		d.applyShare(p.proxies.count())
+		d.applyShare(p.shareOf())
 		d.mu.Unlock()
 	}
 }
@@ -320,7 +320,13 @@
 func (p *Proxy) applyShares() {
 	for _, d := range p.databases {
 		d.mu.Lock()
-		d.applyShare(p.proxies.count())
+		d.applyShare(p.shareOf())
 		d.mu.Unlock()
 	}
 }
+
+// shareOf returns the number of proxies and of those in this availability zone.
+// The mutex is held.
+func (p *Proxy) shareOf() (proxies, neighbours int) {
+	return p.proxies.count(), p.proxies.neighbours(p.options.Settings.AvailabilityZone)
+}
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -28,7 +28,8 @@
 
 // proxyCount knows the proxies that share the upstreams' connections.
 type proxyCount struct {
-	names map[string]struct{}
+	// names has the availability zone of each proxy that is listed.
+	names map[string]string
 	// peak is the highest recent count. Entries can vanish together, and the
 	// shares must not grow until that has lasted.
 	peak      int
@@ -40,6 +41,17 @@
 
 func (c *proxyCount) count() int { return max(1, c.peak) }
 
+// neighbours returns the number of listed proxies in an availability zone.
+func (c *proxyCount) neighbours(zone string) int {
+	n := 0
+	for _, other := range c.names {
+		if other == zone {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 // update takes the number of entries into account. It reports whether count changed.
 func (c *proxyCount) update(at time.Time) bool {
 	before := c.count()
@@ -171,7 +183,7 @@
 	if c.Removed {
 		delete(p.proxies.names, name)
 	} else {
-		p.proxies.names[name] = struct{}{}
+		p.proxies.names[name] = string(c.Value)
 	}
 	p.mu.Unlock()
 	if c.Removed && name == p.options.Settings.VM {
--- a/internal/managed/sync_test.go
+++ b/internal/managed/sync_test.go
@@ -11,9 +11,9 @@
 // of the count went unnoticed because it was compared with itself.
 func TestProxyCountReportsChanges(t *testing.T) {
 	at := time.Unix(100, 0)
-	c := proxyCount{names: map[string]struct{}{}}
+	c := proxyCount{names: map[string]string{}}
 	assert.Equal(t, c.count(), 1)
-	c.names["a"], c.names["b"], c.names["c"] = struct{}{}, struct{}{}, struct{}{}
+	c.names["a"], c.names["b"], c.names["c"] = "z", "z", "y"
 	assert.Assert(t, c.update(at))
 	assert.Equal(t, c.count(), 3)
 	assert.Assert(t, !c.update(at))
@@ -23,7 +23,7 @@
 // when the store revokes leases.
 func TestProxyCountOutlastsVanishedEntries(t *testing.T) {
 	at := time.Unix(100, 0)
-	c := proxyCount{names: map[string]struct{}{"a": {}, "b": {}}}
+	c := proxyCount{names: map[string]string{"a": "z", "b": "z"}}
 	c.update(at)
 	clear(c.names)
 	assert.Assert(t, !c.update(at.Add(peakHold)))
