Refuse queued statements while their callers can still come back

Cause: a statement waited in the queue for its whole time of 1 s; refused then, its caller had no time left to come back, and other work waited behind it. Change: a statement starts within half of its time or is refused.

--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -108,13 +108,22 @@
 
 // acquire waits for a permit.
 func (a *attempt) acquire() (*permit, Reply) {
-	p, refusal := a.db.acquire(a.lane, a.route.Rank, a.deadline, a.session.state.settings)
+	p, refusal := a.db.acquire(a.lane, a.route.Rank, a.queueEnd(), a.session.state.settings)
 	if refusal != nil {
 		return nil, refusedReply(refusal)
 	}
 	return p, Reply{}
 }
 
+// queueEnd is the latest start of the statement. A caller that is refused while
+// half of the statement's time is left can still come back.
+func (a *attempt) queueEnd() entity.Time {
+	return a.arrived.Add(a.deadline.Sub(a.arrived) / queuePart)
+}
+
+// queuePart is the part of the statement's time that it may wait in the queue.
+const queuePart = 2
+
 func refusedReply(r *flood.Refusal) Reply {
 	return failure(CodeBusy, fmt.Sprintf("not run: %s; retry after %d ms", r.Reason, r.RetryAfter.Milliseconds()))
 }
