--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -7,6 +7,10 @@
 // acknowledged after an instant is covered by any proof sent at or after it.
 // The oldest such proof asks least of a lagging replica.
 //
+// A promotion rolls back what no acknowledged commit needs, so the log of the new
+// primary may end before a position that was proven earlier. Such positions are
+// forgotten: no log will ever hold them.
+//
 // Invariants:
 //   - Proofs are ordered by Sent, and their positions do not decrease.
 //   - A floor is returned only from a proof that covers the whole interval.
@@ -39,15 +43,19 @@
 	highest entity.Position
 }
 
-// Add notes a proof. Proofs that arrive out of order or contradict a newer one
-// are dropped: the newer one covers whatever they do.
+// Add notes a proof. One that was sent before the newest is dropped: the newest
+// covers whatever it does.
 func (h *History) Add(p Proof) {
 	n := len(h.proofs)
-	if n > 0 {
-		last := h.proofs[n-1]
-		if p.Sent <= last.Sent || p.Position.Less(last.Position) {
-			return
-		}
+	if n > 0 && p.Sent <= h.proofs[n-1].Sent {
+		return
+	}
+	for n > 0 && p.Position.Less(h.proofs[n-1].Position) {
+		n--
+	}
+	if n < len(h.proofs) {
+		h.proofs = h.proofs[:n]
+		h.highest = p.Position
 	}
 	if h.highest.Less(p.Position) {
 		h.highest = p.Position
--- /dev/null
+++ b/core/freshness/freshness_test.go
@@ -0,0 +1,90 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
+
+func at(ms int) entity.Time { return entity.Time(ms) * entity.Time(time.Millisecond) }
+
+func pos(term, offset uint64) entity.Position { return entity.Position{Term: term, Offset: offset} }
+
+// Guards against a floor that asks more of a replica than the bound needs.
+func TestFloorIsTheOldestProofThatCovers(t *testing.T) {
+	var h History
+	for i := range 10 {
+		h.Add(Proof{Sent: at(100 * i), Position: pos(1, uint64(i))})
+	}
+	floor, ok := h.Floor(at(350))
+	assert.Assert(t, ok)
+	assert.Equal(t, floor, pos(1, 4))
+	_, ok = h.Floor(at(901))
+	assert.Assert(t, !ok)
+}
+
+// Guards against positions that a promotion rolled back: no log holds them, so
+// that every read would wait for them for ever.
+func TestRolledBackPositionsAreForgotten(t *testing.T) {
+	var h History
+	h.Add(Proof{Sent: at(0), Position: pos(1, 8)})
+	h.Add(Proof{Sent: at(100), Position: pos(1, 10)})
+	h.Add(Proof{Sent: at(200), Position: pos(1, 9)})
+	floor, ok := h.Floor(at(50))
+	assert.Assert(t, ok)
+	assert.Equal(t, floor, pos(1, 9))
+	assert.Equal(t, h.Highest(), pos(1, 9))
+}
+
+// Guards against a session's position of an older term, which the newer primary's
+// log may lack.
+func TestMerge(t *testing.T) {
+	assert.Equal(t, Merge(pos(2, 5), pos(1, 9)), pos(2, 5))
+	assert.Equal(t, Merge(pos(1, 5), pos(1, 9)), pos(1, 9))
+	assert.Equal(t, Merge(pos(1, 9), pos(1, 5)), pos(1, 9))
+}
+
+// Guards against a floor below a commit that the read must see: commits are
+// acknowledged in order while proofs arrive in any order.
+func TestFloorCoversAcknowledgedCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h History
+		acked := []entity.Time{}
+		var pending []Proof
+		clock := entity.Time(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			clock += entity.Time(rapid.Int64Range(1, int64(80*time.Millisecond)).Draw(t, "pause"))
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				acked = append(acked, clock)
+			case 1:
+				// The position is read some time after the command was sent.
+				pending = append(pending, Proof{Sent: clock, Position: pos(1, uint64(len(acked)))})
+			case 2:
+				if len(pending) > 0 {
+					i := rapid.IntRange(0, len(pending)-1).Draw(t, "which")
+					h.Add(pending[i])
+					pending = append(pending[:i], pending[i+1:]...)
+				}
+			}
+			since := clock - entity.Time(rapid.Int64Range(0, int64(time.Second)).Draw(t, "age"))
+			floor, ok := h.Floor(since)
+			if !ok {
+				continue
+			}
+			must := 0
+			for _, a := range acked {
+				if a < since {
+					must++
+				}
+			}
+			if floor.Offset < uint64(must) {
+				t.Fatalf("floor %v at %d lacks commit %d", floor, since, must)
+			}
+		}
+	})
+}
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -124,9 +124,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m.answered()
-	if position.IsZero() || position.Term < d.leaderTerm {
+	if position.IsZero() {
 		return
 	}
+	// Right after a promotion the log may still end with an older term.
 	d.history.Add(freshness.Proof{Sent: sent, Position: position})
 	if position.Term > d.leaderTerm {
 		d.setLeader(m, position.Term, "proof")
--- /dev/null
+++ b/internal/managed/session_test.go
@@ -0,0 +1,244 @@
+package managed_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against writes that their own session does not see on a replica.
+func TestReadYourWrites(t *testing.T) {
+	f := newFleet(t, 3)
+	for i := range 3 {
+		f.group.Member(i).SetLag(150 * time.Millisecond)
+	}
+	for i, n := range f.nodes {
+		c := n.open(t, sessionDB)
+		for _, value := range []string{"one", "two", "three"} {
+			c.ok("WRITE k" + string(rune('a'+i)) + " " + value)
+			assert.DeepEqual(t, c.ok("READ k"+string(rune('a'+i))).rows, []string{value})
+		}
+	}
+}
+
+// Guards against reads of strict routes that miss a commit made through another proxy.
+func TestStrictReadSeesEveryCommit(t *testing.T) {
+	f := newFleet(t, 2)
+	writer, reader := f.nodes[0].open(t, strictDB), f.nodes[1].open(t, strictDB)
+	for _, value := range []string{"a", "b", "c", "d"} {
+		writer.ok("WRITE item " + value)
+		assert.DeepEqual(t, reader.ok("READ item").rows, []string{value})
+	}
+}
+
+// Guards against a read at a replaced primary, which answers it as a replica.
+func TestStrictReadAfterPromotionElsewhere(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("WRITE item before")
+	old := f.group.Leader()
+	old.SetDeaf(true)
+	assert.Equal(t, f.group.Promote(f.group.Member(1).ID, 1), 200)
+	waitFor(t, time.Second, "promotion", func() bool { return f.group.Leader() != old })
+	r := c.eventually(3*time.Second, "READ item")
+	assert.DeepEqual(t, r.rows, []string{"before"})
+	for _, run := range f.runsOf(c) {
+		if run.ID == r.id {
+			assert.Equal(t, run.Member, f.group.Member(1).ID)
+		}
+	}
+}
+
+// Guards against bounded reads from a replica that is further behind than the bound.
+func TestBoundedReadLeavesLaggingReplicas(t *testing.T) {
+	f := newFleet(t, 3)
+	for i := range 3 {
+		f.group.Member(i).SetLag(5 * time.Second)
+	}
+	writer, reader := f.nodes[1].open(t, strictDB), f.nodes[1].open(t, boundedDB)
+	writer.ok("WRITE item new")
+	time.Sleep(1200 * time.Millisecond)
+	assert.DeepEqual(t, reader.ok("READ item").rows, []string{"new"})
+}
+
+// Guards against reads that all go to the primary while replicas are fresh enough.
+func TestBoundedReadsStayInTheirZone(t *testing.T) {
+	f := newFleet(t, 3)
+	f.nodes[0].open(t, strictDB).ok("WRITE item x")
+	for i, n := range f.nodes {
+		c := n.open(t, boundedDB)
+		for range 5 {
+			c.ok("READ item")
+		}
+		for _, run := range f.runsOf(c) {
+			assert.Equal(t, run.Member, f.group.Member(i).ID)
+		}
+	}
+}
+
+// Guards against session values and prepared statements that reach another
+// caller on a shared connection.
+func TestSessionValuesDoNotMix(t *testing.T) {
+	f := newFleet(t, 1)
+	a, b := f.nodes[0].open(t, strictDB), f.nodes[0].open(t, strictDB)
+	a.ok("SET tenant mask")
+	a.ok("PREPARE s1 WRITE shape-a")
+	b.ok("PREPARE s1 READ shape-b")
+	for range 10 {
+		a.ok("EXECUTE s1 item v")
+		b.ok("EXECUTE s1 item")
+		b.ok("SET tenant glue")
+		a.ok("READ item")
+	}
+	first := true
+	for _, run := range f.runsOf(a) {
+		assert.Equal(t, run.Settings, "tenant=mask")
+		if strings.Contains(run.Text, "EXECUTE") {
+			assert.Assert(t, strings.HasPrefix(run.Text, "shape-a:"), run.Text)
+		}
+	}
+	for _, run := range f.runsOf(b) {
+		if strings.Contains(run.Text, "EXECUTE") {
+			assert.Assert(t, strings.HasPrefix(run.Text, "shape-b:"), run.Text)
+		}
+		if !first {
+			assert.Equal(t, run.Settings, "tenant=glue")
+		}
+		first = false
+	}
+}
+
+// Guards against statements of a transaction that run outside it, and against
+// transactions of two callers that share one.
+func TestTransactionsKeepApart(t *testing.T) {
+	f := newFleet(t, 1)
+	a, b := f.nodes[0].open(t, strictDB), f.nodes[0].open(t, strictDB)
+	a.ok("BEGIN")
+	assert.Equal(t, a.ok("WRITE item a").state, "T -")
+	b.ok("BEGIN")
+	b.ok("WRITE other b")
+	assert.DeepEqual(t, b.ok("READ item").rows, []string{"none"})
+	a.ok("COMMIT")
+	b.ok("ROLLBACK")
+	assert.DeepEqual(t, a.ok("READ other").rows, []string{"none"})
+	transactions := map[int]string{}
+	for _, r := range f.group.Runs() {
+		if r.Transaction == 0 {
+			continue
+		}
+		owner := r.ID[:strings.LastIndex(r.ID, "-")]
+		if known, ok := transactions[r.Transaction]; ok {
+			assert.Equal(t, known, owner)
+		}
+		transactions[r.Transaction] = owner
+	}
+	assert.Equal(t, len(transactions), 2)
+}
+
+// Guards against a commit of a transaction that failed.
+func TestFailedTransactionIsRolledBack(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("BEGIN")
+	c.ok("WRITE item x")
+	f.group.Leader().DropAnswers(1)
+	r := c.query("WRITE item y")
+	assert.Equal(t, r.code, "ABORTED")
+	assert.Equal(t, r.state, "E -")
+	assert.Equal(t, c.query("READ item").code, "MALFORMED")
+	assert.Equal(t, c.query("COMMIT").code, "ABORTED")
+	assert.DeepEqual(t, c.eventually(2*time.Second, "READ item").rows, []string{"none"})
+}
+
+// Guards against a lost answer to a write that is told as a failure, and against
+// a second run of it.
+func TestLostAnswerOfAWriteIsInDoubt(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("READ item")
+	f.group.Leader().DropAnswers(1)
+	r := c.query("WRITE item x")
+	assert.Equal(t, r.code, "INDOUBT")
+	runs := 0
+	for _, run := range f.group.Runs() {
+		if run.ID == r.id {
+			runs++
+		}
+	}
+	assert.Equal(t, runs, 1)
+}
+
+// Guards against a lost answer to a read that reaches the caller as an error.
+func TestLostAnswerOfAReadIsRepeated(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, boundedDB)
+	c.ok("READ item")
+	f.group.Member(0).DropAnswers(1)
+	c.ok("READ item")
+}
+
+// Guards against messages that stop more than their own session.
+func TestMalformedMessages(t *testing.T) {
+	f := newFleet(t, 1)
+	other := f.nodes[0].open(t, strictDB)
+	c := f.nodes[0].open(t, strictDB)
+	assert.Equal(t, c.query("FROBNICATE x").code, "MALFORMED")
+	c.ok("READ item")
+	c.send("NONSENSE")
+	assert.Assert(t, strings.HasPrefix(c.line(), "ERROR MALFORMED"))
+	_, err := c.reader.ReadByte()
+	assert.ErrorContains(t, err, "EOF")
+	other.ok("READ item")
+}
+
+// Guards against sessions for databases that have no route.
+func TestUnknownDatabase(t *testing.T) {
+	f := newFleet(t, 1)
+	f.nodes[0].open(t, strictDB)
+	c := f.nodes[0].connect(t, "absent")
+	assert.Assert(t, strings.HasPrefix(c.line(), "ERROR NODB"))
+}
+
+// Guards against a configuration that takes force late or goes back.
+func TestConfigurationTakesForce(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.nodes[1].open(t, boundedDB)
+	c.ok("READ item")
+	f.routes = f.routes[:1]
+	f.configure()
+	waitFor(t, time.Second, "route is dropped", func() bool { return c.query("READ item").code == "NODB" })
+	f.store.Put("op/config", []byte(`{"version":1,"routes":[],"services":[],"limits":{}}`))
+	time.Sleep(100 * time.Millisecond)
+	f.nodes[1].open(t, strictDB).ok("READ item")
+}
+
+// Guards against a history that the store forgot in the middle of a watch.
+func TestCompactedHistory(t *testing.T) {
+	f := newFleet(t, 1)
+	f.nodes[0].open(t, strictDB)
+	f.store.SetFault(2)
+	time.Sleep(50 * time.Millisecond)
+	f.routes = append(f.routes, route("late", "primary", 0, 500))
+	f.configure()
+	f.store.Compact()
+	f.store.SetFault(0)
+	waitFor(t, 5*time.Second, "new route", func() bool {
+		c := f.nodes[0].connect(t, "late")
+		return c.line() == "READY I -"
+	})
+}
+
+// Guards against entries that another writer left under servers/.
+func TestUnreadableMemberEntries(t *testing.T) {
+	f := newFleet(t, 1)
+	f.store.Put("servers/junk-1", []byte{0xff, 0x00})
+	f.store.Put("servers/junk-2", []byte(`{"service":7,"address":"x"}`))
+	f.store.Put("servers/junk-3", []byte(`{"service":"absent","address":"127.0.0.1:1","state":"ready","db_role":"primary"}`))
+	f.store.Put("servers/junk-4", []byte(`{"service":"shop","address":"127.0.0.1:1","state":"odd","db_role":"primary"}`))
+	c := f.nodes[0].open(t, strictDB)
+	for range 5 {
+		c.ok("READ item")
+	}
+}
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -27,8 +27,13 @@
 	arrived  entity.Time
 	deadline entity.Time
 	lane     flood.Lane
+	// since is the instant before which acknowledged commits must be seen.
+	since entity.Time
 	// lagged counts the members that lacked the floor.
 	lagged int
+	// rolledBack is set once the primary itself lacked the floor: the session's
+	// last position was beyond what the promotion kept.
+	rolledBack bool
 }
 
 func (s *session) newAttempt(route Route, db *database, arrived entity.Time, lane flood.Lane) *attempt {
@@ -36,7 +41,8 @@
 	if timeout <= 0 {
 		timeout = defaultStatementTimeout
 	}
-	return &attempt{session: s, db: db, route: route, arrived: arrived, deadline: arrived.Add(timeout), lane: lane}
+	return &attempt{session: s, db: db, route: route, arrived: arrived, deadline: arrived.Add(timeout), lane: lane,
+		since: arrived.Add(-route.MaxStaleness)}
 }
 
 // single runs a statement outside transactions.
@@ -205,7 +211,10 @@
 	d := a.db
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p.member != d.leader {
+	if p.member == d.leader {
+		a.rolledBack = true
+		a.since = now()
+	} else {
 		p.member.lagUntil = now().Add(lagPause)
 	}
 	a.lane = flood.LanePrimary
@@ -214,11 +223,10 @@
 // floor returns the position that a read of a bounded or session route must see.
 // It reports false with the final answer if none can be proven.
 func (a *attempt) floor() (entity.Position, bool, Reply) {
-	since := a.arrived.Add(stalenessMargin - a.route.MaxStaleness)
 	for {
-		position, ok, underWay := a.db.floor(since)
+		position, ok, underWay := a.db.floor(a.since)
 		if ok {
-			if a.route.Consistency == SessionConsistency {
+			if a.route.Consistency == SessionConsistency && !a.rolledBack {
 				position = freshness.Merge(position, a.session.state.written)
 			}
 			return position, true, Reply{}
@@ -265,10 +273,6 @@
 	d.proving = nil
 }
 
-// stalenessMargin is taken off the staleness bound for the way of the request
-// from the caller, whose clock the bound is measured by.
-const stalenessMargin = 100 * time.Millisecond
-
 // proveAnew gets a proof over a connection to the primary.
 func (a *attempt) proveAnew() (Reply, bool) {
 	p, refusal := a.db.acquire(flood.LanePrimary, a.route.Rank, a.deadline, a.session.state.settings)
