Inspect databases at rest

Change: three proxies for each database, in rendezvous order, ask all members every 1.5 s; pauses without a claim are lifted behind a newer fence token.

--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -189,3 +189,12 @@
 		"primary_open": u.primaryOpen, "primary_running": u.primaryRunning, "queued": u.queued,
 	}).Info("pool in use")
 }
+
+func (e *events) resumed(db entity.Database, name entity.Upstream, err error) {
+	entry := e.line("upstream_resumed").WithFields(logrus.Fields{"database": db, "peer": name})
+	if err != nil {
+		entry.WithError(err).Warn("resume failed")
+		return
+	}
+	entry.Info("state changed")
+}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
@@ -330,3 +331,22 @@
 func (p *Proxy) shareOf() (proxies, neighbours int) {
 	return p.proxies.count(), p.proxies.neighbours(p.options.Settings.AvailabilityZone)
 }
+
+// inspects reports whether this proxy is one of those that inspect a database:
+// the first ones in rendezvous order, and alone if it knows no other.
+func (p *Proxy) inspects(name entity.Database) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own := rendezvous(p.options.Settings.VM, name)
+	before := 0
+	for other := range p.proxies.names {
+		if rendezvous(other, name) > own {
+			before++
+		}
+	}
+	return before < inspectors
+}
+
+func rendezvous(vm string, name entity.Database) uint64 {
+	return xxhash.Sum64String(vm + " " + string(name))
+}
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -29,6 +29,10 @@
 	proofAge = 500 * time.Millisecond
 	// readsRecent is how long reads count as coming.
 	readsRecent = 3 * time.Second
+	// inspectionInterval is the time between inspections by one proxy, and
+	// inspectors is how many proxies inspect each database.
+	inspectionInterval = 1500 * time.Millisecond
+	inspectors         = 3
 	// stallWindow is the time within which a healthy primary's replicas receive
 	// something if writes wait.
 	stallWindow = 300 * time.Millisecond
@@ -46,6 +50,7 @@
 	misses, silent  int
 	leaderlessSince entity.Time
 	nextTakeover    entity.Time
+	nextInspection  entity.Time
 }
 
 func newScout(d *database) *scout {
@@ -108,9 +113,35 @@
 	}
 	s.leaderlessSince = 0
 	s.renewProof(at)
+	s.inspect(at, leader)
 	return scoutInterval
 }
 
+// inspect looks after a database that is at rest: a primary that nobody uses may
+// be down, and a proxy that died in a takeover may have left replicas paused. Few
+// proxies do so for each database.
+func (s *scout) inspect(at entity.Time, leader *member) {
+	if at < s.nextInspection || !s.db.proxy.inspects(s.db.name) {
+		return
+	}
+	s.nextInspection = at.Add(inspectionInterval)
+	var held []*member
+	wellLed := false
+	for _, r := range s.survey(Command{Kind: CommandStatus}, s.db.all()) {
+		switch {
+		case r.member == leader && r.err != nil && !anyFull([]report{r}):
+			s.doubt()
+		case r.member == leader:
+			wellLed = r.err == nil && r.status.Primary
+		case r.err == nil && r.status.HeldTerm != 0:
+			held = append(held, r.member)
+		}
+	}
+	if wellLed && len(held) > 0 {
+		s.release(leader, held)
+	}
+}
+
 // forgetMissing drops members whose entries stayed away. The mutex is held.
 func (d *database) forgetMissing(at entity.Time) {
 	for name, m := range d.members {
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -221,3 +221,31 @@
 	}
 	t.claim.end()
 }
+
+// release lifts pauses that a dead proxy left. A newer fence token comes first, so
+// that the platform refuses an order of that proxy which is carried out late.
+func (s *scout) release(leader *member, held []*member) {
+	d := s.db
+	if now() < s.nextTakeover {
+		return
+	}
+	s.nextTakeover = now().Add(takeoverPause())
+	c, err := d.proxy.claimTakeover(d)
+	if err != nil {
+		if !errors.Is(err, errClaimHeld) {
+			d.proxy.events.storeFailed("claim_release", err)
+		}
+		return
+	}
+	defer c.end()
+	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
+	defer cancel()
+	err = d.proxy.options.Promoter.Promote(ctx, d.name, leader.spec.Name, d.proxy.options.Settings.VM, c.fence)
+	d.proxy.events.promoted(d.name, leader.spec.Name, c.fence, err)
+	if err != nil {
+		return
+	}
+	for _, r := range s.survey(Command{Kind: CommandResume}, held) {
+		d.proxy.events.resumed(d.name, r.spec.Name, r.err)
+	}
+}
--- /dev/null
+++ b/internal/managed/takeover_test.go
@@ -0,0 +1,185 @@
+package managed_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/platform/standin"
+)
+
+// failoverLimit bounds the time without a primary: the brief allows 10 s for a
+// change of primary.
+const failoverLimit = 10 * time.Second
+
+func (f *fleet) awaitNewLeader(old *standin.Member) {
+	f.t.Helper()
+	waitFor(f.t, failoverLimit, "a new primary", func() bool { return f.group.Leader() != old })
+}
+
+// promoters returns who promoted, in order.
+func (f *fleet) promoters() []string {
+	var holders []string
+	for _, p := range f.store.Promotions() {
+		holders = append(holders, strings.Fields(p)[2])
+	}
+	return holders
+}
+
+// Guards against a lost primary that nobody replaces, and against lost commits.
+func TestCrashedPrimaryIsReplaced(t *testing.T) {
+	f := newFleet(t, 3)
+	c := f.nodes[1].open(t, strictDB)
+	c.ok("WRITE item kept")
+	old := f.group.Leader()
+	old.Crash()
+	f.awaitNewLeader(old)
+	assert.DeepEqual(t, c.eventually(3*time.Second, "READ item").rows, []string{"kept"})
+	c.eventually(3*time.Second, "WRITE item next")
+	assert.Equal(t, len(f.group.Lost()), 0)
+	assert.Equal(t, len(f.promoters()), 1)
+}
+
+// Guards against a primary that accepts connections and answers nothing.
+func TestSilentPrimaryIsReplaced(t *testing.T) {
+	f := newFleet(t, 3)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("WRITE item kept")
+	old := f.group.Leader()
+	old.SetSilent(true)
+	c.query("WRITE item lost")
+	f.awaitNewLeader(old)
+	c.eventually(3*time.Second, "WRITE item next")
+	assert.Equal(t, len(f.group.Lost()), 0)
+}
+
+// Guards against a primary that is cut off from its replicas: it answers, but
+// acknowledges no write.
+func TestPrimaryThatDoesNotReplicateIsReplaced(t *testing.T) {
+	f := newFleet(t, 3)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("WRITE item kept")
+	old := f.group.Leader()
+	old.SetDeaf(true)
+	assert.Equal(t, c.query("WRITE item hangs").code, "INDOUBT")
+	f.awaitNewLeader(old)
+	assert.DeepEqual(t, c.eventually(3*time.Second, "READ item").rows, []string{"kept"})
+	assert.Equal(t, len(f.group.Lost()), 0)
+}
+
+// Guards against a planned replacement that stops writes for long or loses one.
+func TestLeavingPrimaryIsReplacedWithoutAGap(t *testing.T) {
+	f := newFleet(t, 3)
+	c := f.nodes[0].open(t, strictDB)
+	old := f.group.Leader()
+	old.SetLeaving(true)
+	end := time.Now().Add(failoverLimit)
+	longest, last := time.Duration(0), time.Now()
+	for f.group.Leader() == old && time.Now().Before(end) || time.Since(last) > 0 && longest == 0 {
+		if c.query("WRITE item v").code == "" {
+			longest = max(longest, time.Since(last))
+			last = time.Now()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, f.group.Leader() != old)
+	c.eventually(2*time.Second, "WRITE item after")
+	assert.Equal(t, len(f.group.Lost()), 0)
+	for i := range 3 {
+		assert.Equal(t, f.group.Member(i).Held(), uint64(0))
+	}
+}
+
+// Guards against a promotion while a replica cannot be asked that may be the only
+// holder of an acknowledged commit.
+func TestPromotionWaitsForTheOnlyHolder(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("WRITE item first")
+	f.group.Member(1).SetDeaf(true)
+	c.ok("WRITE item second")
+	f.group.Member(2).Crash()
+	old := f.group.Leader()
+	old.Crash()
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, f.group.Leader(), old)
+	assert.NilError(t, f.group.Member(2).Restart())
+	f.awaitNewLeader(old)
+	assert.Equal(t, f.group.Leader(), f.group.Member(2))
+	assert.Equal(t, len(f.group.Lost()), 0)
+}
+
+// Guards against two proxies that promote at once.
+func TestOneProxyPromotes(t *testing.T) {
+	f := newFleet(t, 5)
+	for _, n := range f.nodes {
+		n.open(t, strictDB).ok("READ item")
+	}
+	old := f.group.Leader()
+	old.Crash()
+	f.awaitNewLeader(old)
+	time.Sleep(time.Second)
+	assert.Equal(t, len(f.promoters()), 1, "%v", f.store.Promotions())
+}
+
+// Guards against a takeover that needs no store, and against one that never comes
+// once the store is back.
+func TestTakeoverWaitsForTheStore(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("WRITE item kept")
+	f.store.SetFault(standin.StoreRefuses)
+	old := f.group.Leader()
+	old.Crash()
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, f.group.Leader(), old)
+	f.store.SetFault(standin.StoreWell)
+	f.awaitNewLeader(old)
+	c.eventually(3*time.Second, "WRITE item next")
+}
+
+// Guards against writes whose answer of the store was lost: the claim may be held
+// although the proxy does not know it.
+func TestTakeoverAfterLostAnswers(t *testing.T) {
+	f := newFleet(t, 2)
+	f.nodes[0].open(t, strictDB).ok("WRITE item kept")
+	f.store.SetFault(standin.StoreLoses)
+	old := f.group.Leader()
+	old.Crash()
+	time.Sleep(time.Second)
+	f.store.SetFault(standin.StoreWell)
+	f.awaitNewLeader(old)
+	assert.Equal(t, len(f.group.Lost()), 0)
+}
+
+// Guards against a second crash right after a promotion.
+func TestTwoCrashesInARow(t *testing.T) {
+	f := newFleet(t, 3)
+	c := f.nodes[2].open(t, strictDB)
+	c.ok("WRITE item one")
+	first := f.group.Leader()
+	first.Crash()
+	f.awaitNewLeader(first)
+	c.eventually(3*time.Second, "WRITE item two")
+	assert.NilError(t, first.Restart())
+	time.Sleep(200 * time.Millisecond)
+	second := f.group.Leader()
+	second.Crash()
+	f.awaitNewLeader(second)
+	assert.DeepEqual(t, c.eventually(5*time.Second, "READ item").rows, []string{"two"})
+	assert.Equal(t, len(f.group.Lost()), 0)
+}
+
+// Guards against a pause that its proxy left behind when it died: the replica
+// would receive nothing any more.
+func TestAbandonedPauseIsLifted(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.nodes[0].open(t, sessionDB)
+	c.ok("WRITE item one")
+	f.group.Member(1).Pause(2)
+	waitFor(t, failoverLimit, "the pause to end", func() bool { return f.group.Member(1).Held() == 0 })
+	assert.Equal(t, len(f.group.Lost()), 0)
+	c.eventually(3*time.Second, "WRITE item two")
+}
