Prove primaries at rest without status calls; let watches wait 10 s

Change: a primary at rest is proven by an empty transaction; one proxy looks for abandoned pauses every 6 s; a watch waits 10 s and is cancelled when a renewal of the lease fails.

--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -332,9 +332,9 @@
 	return p.proxies.count(), p.proxies.neighbours(p.options.Settings.AvailabilityZone)
 }
 
-// inspects reports whether this proxy is one of those that inspect a database:
-// the first ones in rendezvous order, and alone if it knows no other.
-func (p *Proxy) inspects(name entity.Database) bool {
+// inspectionPlace returns this proxy's place among all in the rendezvous order of
+// a database, 0 being the first. A proxy that knows no other is the first.
+func (p *Proxy) inspectionPlace(name entity.Database) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	own := rendezvous(p.options.Settings.VM, name)
@@ -344,7 +344,7 @@
 			before++
 		}
 	}
-	return before < inspectors
+	return before
 }
 
 func rendezvous(vm string, name entity.Database) uint64 {
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -29,10 +29,13 @@
 	proofAge = 500 * time.Millisecond
 	// readsRecent is how long reads count as coming.
 	readsRecent = 3 * time.Second
-	// inspectionInterval is the time between inspections by one proxy, and
-	// inspectors is how many proxies inspect each database.
+	// inspectionInterval is the time between proofs of a primary at rest by one
+	// proxy, and inspectors is how many proxies do so for each database.
 	inspectionInterval = 1500 * time.Millisecond
 	inspectors         = 3
+	// heldCheckInterval is the time between looks for abandoned pauses, by one
+	// proxy. Status calls are priced like health checks.
+	heldCheckInterval = 6 * time.Second
 	// stallWindow is the time within which a healthy primary's replicas receive
 	// something if writes wait.
 	stallWindow = 300 * time.Millisecond
@@ -51,6 +54,7 @@
 	leaderlessSince entity.Time
 	nextTakeover    entity.Time
 	nextInspection  entity.Time
+	nextHeldCheck   entity.Time
 }
 
 func newScout(d *database) *scout {
@@ -118,26 +122,54 @@
 }
 
 // inspect looks after a database that is at rest: a primary that nobody uses may
-// be down, and a proxy that died in a takeover may have left replicas paused. Few
-// proxies do so for each database.
+// be down, and a proxy that died in a takeover may have left replicas paused.
 func (s *scout) inspect(at entity.Time, leader *member) {
-	if at < s.nextInspection || !s.db.proxy.inspects(s.db.name) {
+	place := s.db.proxy.inspectionPlace(s.db.name)
+	if place < inspectors && at >= s.nextInspection {
+		s.nextInspection = at.Add(inspectionInterval)
+		s.inspectLeader(at, leader)
+	}
+	if place == 0 && at >= s.nextHeldCheck {
+		s.nextHeldCheck = at.Add(heldCheckInterval)
+		s.inspectReplicas(leader)
+	}
+}
+
+// inspectLeader proves the primary unless traffic has done so lately.
+func (s *scout) inspectLeader(at entity.Time, leader *member) {
+	d := s.db
+	d.mu.Lock()
+	proven := at.Sub(d.history.Newest().Sent) < inspectionInterval
+	var l *link
+	if !proven {
+		l = leader.takeIdle("")
+	}
+	d.mu.Unlock()
+	switch {
+	case proven:
+	case l != nil:
+		s.proveOver(l)
+	default:
+		s.doubt()
+	}
+}
+
+// inspectReplicas lifts pauses that no takeover needs any more.
+func (s *scout) inspectReplicas(leader *member) {
+	d := s.db
+	d.mu.Lock()
+	claimed := d.claim.revision != 0
+	d.mu.Unlock()
+	if claimed {
 		return
 	}
-	s.nextInspection = at.Add(inspectionInterval)
 	var held []*member
-	wellLed := false
-	for _, r := range s.survey(Command{Kind: CommandStatus}, s.db.all()) {
-		switch {
-		case r.member == leader && r.err != nil && !anyFull([]report{r}):
-			s.doubt()
-		case r.member == leader:
-			wellLed = r.err == nil && r.status.Primary
-		case r.err == nil && r.status.HeldTerm != 0:
+	for _, r := range s.survey(Command{Kind: CommandStatus}, d.all()) {
+		if r.member != leader && r.err == nil && r.status.HeldTerm != 0 {
 			held = append(held, r.member)
 		}
 	}
-	if wellLed && len(held) > 0 {
+	if len(held) > 0 {
 		s.release(leader, held)
 	}
 }
@@ -171,6 +203,12 @@
 	if l == nil {
 		return
 	}
+	s.proveOver(l)
+}
+
+// proveOver proves the primary over an idle connection and gives it back.
+func (s *scout) proveOver(l *link) {
+	d := s.db
 	_, err := d.prove(l, time.Now().Add(probeTimeout))
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -5,15 +5,17 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 )
 
 const (
-	// watchWait is how long the store holds a watch without changes. A store that
-	// went silent is noticed within watchWait and watchSlack.
-	watchWait  = 2500 * time.Millisecond
+	// watchWait is how long the store holds a watch without changes. A waiting
+	// watch counts as one call, so it is long; a store that went silent is noticed
+	// by the renewals of the proxy's lease, which cancel the watch.
+	watchWait  = 10 * time.Second
 	watchSlack = 900 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 50 * time.Millisecond
@@ -68,8 +70,10 @@
 	revision uint64
 	lost     time.Time
 	lease    uint64
-	// listed is set while the own entry is in the store, as far as known.
+	// reregister tells that the own entry vanished.
 	reregister chan struct{}
+	// watching cancels the watch under way.
+	watching atomic.Pointer[context.CancelFunc]
 }
 
 func newStoreSync(p *Proxy) *storeSync {
@@ -125,6 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	s.watching.Store(&cancel)
 	changes, revision, err := s.proxy.options.Store.Watch(ctx, s.revision, watchWait)
 	if err != nil {
 		return err
@@ -215,6 +220,9 @@
 			}
 			listed = false
 			s.proxy.events.storeFailed("register", err)
+			if cancel := s.watching.Load(); cancel != nil {
+				(*cancel)()
+			}
 			timer.Reset(retryMax/2 + rand.N(retryMax))
 			continue
 		}
