Move a crowded primary to a lagging replica

Change: while reads are refused and every replica lags, the primary moves to a replica (planned, without a gap in writes). The old primary is up to date and serves reads. Also: a watch waits 3.5 s instead of 10 s, since a watch that reached the store in a short outage is never answered (TestCompactedHistory failed).

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -34,6 +34,9 @@
 	// proving is closed when the proof that reads wait for has come or failed; nil
 	// if none is under way.
 	proving chan struct{}
+	// refusedAt is the last refusal for want of a slot, promotedAt the last
+	// promotion that this proxy noticed, zero if there was none.
+	refusedAt, promotedAt entity.Time
 	// lastRead is the last arrival of a read that needs a floor.
 	lastRead entity.Time
 	// claim is the takeover that the store shows, zero if there is none.
@@ -93,6 +96,7 @@
 	d.waiting[w.item.Handle] = w
 	if decision := d.scheduler.Offer(at, w.item); decision.Reason != flood.ReasonNone {
 		delete(d.waiting, w.item.Handle)
+		d.refusedAt = at
 		d.mu.Unlock()
 		return nil, &flood.Refusal{Handle: w.item.Handle, Reason: decision.Reason, RetryAfter: decision.RetryAfter}
 	}
@@ -199,6 +203,9 @@
 	at := now()
 	d.dispatch(at)
 	d.refusals = d.scheduler.Expire(at, d.refusals[:0])
+	if len(d.refusals) > 0 {
+		d.refusedAt = at
+	}
 	for i := range d.refusals {
 		refusal := d.refusals[i]
 		if w, ok := d.waiting[refusal.Handle]; ok {
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -40,6 +40,9 @@
 	pauseUntil  entity.Time
 	lagUntil    entity.Time
 	fullUntil   entity.Time
+	// lagSince is the first read that the member refused as lagging since it last
+	// served one.
+	lagSince entity.Time
 	// leavingSince and missingSince are zero while the member is neither.
 	leavingSince, missingSince entity.Time
 	gone                       bool
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -150,6 +150,9 @@
 	if d.leader == m && d.leaderTerm == term {
 		return
 	}
+	if d.leaderTerm != 0 && term > d.leaderTerm {
+		d.promotedAt = now()
+	}
 	previous := d.leader
 	d.leader, d.leaderTerm = m, term
 	d.proxy.events.leaderChanged(d.name, previous, m, term, reason)
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -101,6 +101,7 @@
 	leaving := leader != nil && leader.leavingSince != 0
 	failing := leader != nil && (leader.failures > 0 || leader.gone)
 	known := len(d.members)
+	crowded := leader != nil && d.crowded(at)
 	d.mu.Unlock()
 	switch {
 	case known == 0:
@@ -114,6 +115,9 @@
 	case leaving:
 		s.takeOver(true, "leaving")
 		return doubtInterval
+	case crowded:
+		s.takeOver(true, "replicas lag")
+		return doubtInterval
 	}
 	s.leaderlessSince = 0
 	s.renewProof(at)
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -169,6 +169,7 @@
 			d.noteProof(p.member, sent, reply.Position)
 			a.session.state.written = reply.Position
 		}
+		d.noteServed(p.member)
 		d.end(p, true)
 		return reply, true
 	case CodeBusy:
@@ -215,7 +216,7 @@
 		a.rolledBack = true
 		a.since = now()
 	} else {
-		p.member.lagUntil = now().Add(lagPause)
+		p.member.noteLag(now())
 	}
 	a.lane = flood.LanePrimary
 }
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without changes. A waiting
-	// watch counts as one call, so it is long; a store that went silent is noticed
-	// by the renewals of the proxy's lease, which cancel the watch.
-	watchWait  = 10 * time.Second
+	// watchWait is how long the store holds a watch without changes. A watch that
+	// reached the store in a short outage is never answered, so that watchWait and
+	// watchSlack have to fit into the time in which a configuration takes force.
+	watchWait  = 3500 * time.Millisecond
 	watchSlack = 900 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 50 * time.Millisecond
