--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -55,6 +55,8 @@
 	nextTakeover    entity.Time
 	nextInspection  entity.Time
 	nextHeldCheck   entity.Time
+	// warmed is set once the first connections were opened.
+	warmed bool
 }
 
 func newScout(d *database) *scout {
@@ -120,11 +122,50 @@
 		return doubtInterval
 	}
 	s.leaderlessSince = 0
+	if !s.warmed {
+		s.warmed = true
+		s.warm(leader)
+	}
 	s.renewProof(at)
 	s.inspect(at, leader)
 	return scoutInterval
 }
 
+// warm opens one connection to each member and proves the primary, so that the
+// first callers after a restart do not wait for both.
+func (s *scout) warm(leader *member) {
+	d := s.db
+	var wait sync.WaitGroup
+	for _, m := range d.all() {
+		wait.Go(func() { s.warmMember(m, m == leader) })
+	}
+	wait.Wait()
+}
+
+func (s *scout) warmMember(m *member, leads bool) {
+	d := s.db
+	d.mu.Lock()
+	if m.open > 0 || m.leavingSince != 0 {
+		d.mu.Unlock()
+		return
+	}
+	m.open++
+	p := &permit{db: d, member: m, ended: true}
+	d.mu.Unlock()
+	deadline := now().Add(connectTimeout)
+	if err := p.open(deadline); err != nil {
+		d.proxy.events.memberFailed(d.name, m.spec.Name, "warm", err)
+		return
+	}
+	if leads {
+		if _, err := d.prove(p.link, wall(deadline, now())); err != nil {
+			p.broke(err)
+			return
+		}
+	}
+	d.end(p, true)
+}
+
 // inspect looks after a database that is at rest: a primary that nobody uses may
 // be down, and a proxy that died in a takeover may have left replicas paused.
 func (s *scout) inspect(at entity.Time, leader *member) {
