Log the stages of slow and failed statements

A statement that fails or is answered later than its route aims for logs where its time went: queue, connection, proof, upstream, tries and their refusals.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -57,6 +57,12 @@
 	StatementClose
 )
 
+var statementNames = [...]string{"invalid", "begin", "begin_read", "commit", "rollback", "read", "write", "set",
+	"prepare", "execute", "close"}
+
+// String returns the kind as it appears in logs and metrics.
+func (k StatementKind) String() string { return statementNames[k] }
+
 // Statement is one statement of a caller.
 type Statement struct {
 	// ID is the caller's id of the attempt. It goes to the upstream unchanged.
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -75,7 +75,18 @@
 	e.line("request_failed").WithFields(logrus.Fields{
 		"id": statement.ID, "database": s.host, "code": reply.Code.String(), "reason": reply.Text,
 		"took_ms": took.Milliseconds(), "caller": s.caller.Address(), "statement": statement.Kind,
-	}).Info("request failed")
+	}).WithFields(s.stages.fields()).Info("request failed")
+}
+
+// slow logs a statement that was answered later than its route aims for.
+func (e *events) slow(s *session, statement *Statement, took time.Duration) {
+	if !e.admit(CodeNone) {
+		return
+	}
+	e.line("request_slow").WithFields(logrus.Fields{
+		"id": statement.ID, "database": s.host, "took_ms": took.Milliseconds(),
+		"caller": s.caller.Address(), "statement": statement.Kind,
+	}).WithFields(s.stages.fields()).Info("request answered late")
 }
 
 // transactionEnded logs a transaction that the proxy ended between statements.
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -20,6 +20,9 @@
 	host   string
 	state  sessionState
 
+	// stages are those of the statement under way.
+	stages stages
+
 	// tx is the open or failed transaction, nil if there is none.
 	tx *transaction
 }
@@ -115,10 +118,9 @@
 // run serves one statement. It reports whether the session goes on.
 func (s *session) run(statement *Statement) bool {
 	arrived := now()
+	s.stages = stages{}
 	reply, state := s.execute(statement, arrived)
-	if reply.Code != CodeNone {
-		s.proxy.events.failed(s, statement, reply, now().Sub(arrived))
-	}
+	s.report(statement, reply, now().Sub(arrived))
 	if err := s.caller.Answer(reply, state); err != nil {
 		return false
 	}
@@ -127,6 +129,17 @@
 	return !s.proxy.drain.handingOver() || state != StateIdle
 }
 
+// report logs a statement that failed or took longer than its route aims for.
+func (s *session) report(statement *Statement, reply Reply, took time.Duration) {
+	if reply.Code != CodeNone {
+		s.proxy.events.failed(s, statement, reply, took)
+		return
+	}
+	if route, ok := s.proxy.route(s.host); ok && took > route.TargetLatency && route.TargetLatency > 0 {
+		s.proxy.events.slow(s, statement, took)
+	}
+}
+
 func (s *session) execute(statement *Statement, arrived entity.Time) (Reply, TransactionState) {
 	if statement.Kind == StatementInvalid {
 		return failure(CodeMalformed, "statement is unknown"), s.transactionState()
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -83,7 +83,7 @@
 	if p == nil {
 		return refused, true
 	}
-	if err := p.open(a.deadline); err != nil {
+	if err := a.open(p); err != nil {
 		return a.notConnected(p, err)
 	}
 	if !writes && a.route.Consistency == StrictConsistency {
@@ -104,6 +104,8 @@
 // exchange sends the statement behind the session's state.
 func (a *attempt) exchange(p *permit, statement *Statement, floor entity.Position) (Reply, error) {
 	s := &a.session.state
+	defer since(&a.session.stages.run, now())
+	a.session.stages.floor = floor
 	commands := append(p.link.prelude(s, statement), s.command(statement, floor))
 	replies, err := p.link.exchange(wall(a.deadline, now()), commands...)
 	if err != nil {
@@ -114,13 +116,29 @@
 
 // acquire waits for a permit.
 func (a *attempt) acquire() (*permit, Reply) {
+	start := now()
 	p, refusal := a.db.acquire(a.lane, a.route.Rank, a.queueEnd(), a.session.state.settings)
+	since(&a.session.stages.queue, start)
 	if refusal != nil {
 		return nil, refusedReply(refusal)
 	}
+	a.session.stages.tries++
+	a.session.stages.member = p.member.spec.Name
 	return p, Reply{}
 }
 
+// open opens the permit's connection.
+func (a *attempt) open(p *permit) error {
+	defer since(&a.session.stages.connect, now())
+	return p.open(a.deadline)
+}
+
+// prove proves the primary over the permit's connection.
+func (a *attempt) prove(p *permit) (bool, error) {
+	defer since(&a.session.stages.proof, now())
+	return a.db.prove(p.link, wall(a.deadline, now()))
+}
+
 // queueEnd is the latest start of the statement. A caller that is refused while
 // half of the statement's time is left can still come back.
 func (a *attempt) queueEnd() entity.Time {
@@ -173,12 +191,14 @@
 		d.end(p, true)
 		return reply, true
 	case CodeBusy:
+		a.session.stages.busy++
 		d.mu.Lock()
 		p.member.pauseUntil = now().Add(busyPause)
 		d.mu.Unlock()
 		d.end(p, true)
 		return a.again(reply)
 	case CodeReadOnly:
+		a.session.stages.readOnly++
 		d.noteNotLeading(p.member)
 		d.end(p, true)
 		return a.again(reply)
@@ -209,6 +229,7 @@
 // lagging notes that a member lacks the floor; the read goes to the primary.
 func (a *attempt) lagging(p *permit) {
 	a.lagged++
+	a.session.stages.lagged++
 	d := a.db
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -233,8 +254,10 @@
 			return position, true, Reply{}
 		}
 		if underWay != nil {
+			start := now()
 			select {
 			case <-underWay:
+				since(&a.session.stages.proof, start)
 				continue
 			case <-time.After(a.deadline.Sub(now())):
 				return entity.Position{}, false, failure(CodeBusy, "not run: the primary could not be proven in time")
@@ -280,10 +303,10 @@
 	if refusal != nil {
 		return refusedReply(refusal), true
 	}
-	if err := p.open(a.deadline); err != nil {
+	if err := a.open(p); err != nil {
 		return a.notConnected(p, err)
 	}
-	ok, err := a.db.prove(p.link, wall(a.deadline, now()))
+	ok, err := a.prove(p)
 	if err != nil {
 		p.broke(err)
 		return a.broken(false, err)
@@ -306,7 +329,7 @@
 	if newest.Sent >= a.arrived {
 		return newest.Position, true, Reply{}
 	}
-	ok, err := d.prove(p.link, wall(a.deadline, now()))
+	ok, err := a.prove(p)
 	if err != nil {
 		p.broke(err)
 		reply, _ := a.broken(false, err)
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -108,7 +108,7 @@
 	if p == nil {
 		return refused, true
 	}
-	if err := p.open(a.deadline); err != nil {
+	if err := a.open(p); err != nil {
 		return a.notConnected(p, err)
 	}
 	if t.readOnly && t.route.Consistency == StrictConsistency {
@@ -119,6 +119,7 @@
 		command.After = floor
 	}
 	sent := now()
+	defer since(&t.session.stages.run, sent)
 	commands := append(p.link.prelude(&t.session.state, nil), command)
 	replies, err := p.link.exchange(wall(a.deadline, now()), commands...)
 	if err != nil {
@@ -150,7 +151,10 @@
 func (t *transaction) forward(statement *Statement, arrived entity.Time) (Reply, TransactionState) {
 	s := t.session
 	a := s.newAttempt(t.route, t.db, arrived, flood.LanePrimary)
+	defer since(&s.stages.run, now())
+	s.stages.member = t.link.member.spec.Name
 	for {
+		s.stages.tries++
 		commands := append(t.link.prelude(&s.state, statement), s.state.command(statement, entity.Position{}))
 		sent := now()
 		replies, err := t.link.exchange(wall(a.deadline, now()), commands...)
