--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +18,8 @@
 	// doubtInterval is the same while the primary is in doubt.
 	doubtInterval = 100 * time.Millisecond
 	// probeTimeout bounds one status call, a new connection included. On a busy
-	// upstream in another region it takes up to 250 ms.
-	probeTimeout = 450 * time.Millisecond
+	// upstream in another region it takes up to 300 ms.
+	probeTimeout = 360 * time.Millisecond
 	// refusedMisses and silentMisses are the failed status calls after which a
 	// primary counts as lost: one that refuses connections is down for certain.
 	refusedMisses = 2
@@ -453,9 +454,19 @@
 	if s.silent > 0 {
 		limit = silentMisses
 	}
-	if s.misses >= limit {
-		s.takeOver(false, "primary does not answer")
+	if s.misses < limit {
+		return
+	}
+	// Another proxy may have promoted already; without the store nothing else
+	// would tell this one.
+	if s.adopt(s.survey(Command{Kind: CommandStatus}, s.others(leader))) {
+		return
 	}
+	s.takeOver(false, "primary does not answer")
+}
+
+func (s *scout) others(leader *member) []*member {
+	return slices.DeleteFunc(s.db.all(), func(m *member) bool { return m == leader })
 }
 
 // leaderWell ends the doubt about a primary that answers, unless its replicas
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -136,9 +136,25 @@
 	}
 	s.apply(changes)
 	s.revision = revision
+	if onlyProxies(changes) {
+		sleep(ctx, coalesceTime)
+	}
 	return nil
 }
 
+// coalesceTime is the pause after changes that only concern the list of proxies.
+// They come in series, and each watch counts as a call.
+const coalesceTime = 250 * time.Millisecond
+
+func onlyProxies(changes []Change) bool {
+	for i := range changes {
+		if !strings.HasPrefix(changes[i].Key, vmPrefix) {
+			return false
+		}
+	}
+	return len(changes) > 0
+}
+
 // list reads everything. What is not listed counts as removed.
 func (s *storeSync) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
@@ -245,12 +261,17 @@
 		}
 		s.lease = lease
 	}
-	key := vmPrefix + s.proxy.options.Settings.VM
+	key, value := vmPrefix+s.proxy.options.Settings.VM, []byte(s.proxy.options.Settings.AvailabilityZone)
+	_, err := store.Put(ctx, key, value, 0, s.lease)
+	if !errors.Is(err, ErrConflict) {
+		return err
+	}
+	// An entry of this VM's previous process is still there.
 	_, revision, err := store.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	_, err = store.Put(ctx, key, []byte(s.proxy.options.Settings.AvailabilityZone), revision, s.lease)
+	_, err = store.Put(ctx, key, value, revision, s.lease)
 	return err
 }
 
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -64,7 +65,7 @@
 		if !t.renew() {
 			break
 		}
-		reports := t.scout.survey(Command{Kind: CommandStatus}, t.db.all())
+		reports := t.scout.survey(Command{Kind: CommandStatus}, t.asked())
 		decision := takeover.Decide(t.view(reports))
 		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence)
 		switch decision.Step {
@@ -87,6 +88,19 @@
 	t.giveUp()
 }
 
+// asked returns the members to survey. A lost primary is left out: each wait for
+// its answer would be part of the gap in writes.
+func (t *takeoverRun) asked() []*member {
+	members := t.db.all()
+	if t.leaving {
+		return members
+	}
+	t.db.mu.Lock()
+	leader := t.db.leader
+	t.db.mu.Unlock()
+	return slices.DeleteFunc(members, func(m *member) bool { return m == leader })
+}
+
 // renew keeps the claim. It reports false if the claim may be lost.
 func (t *takeoverRun) renew() bool {
 	if now().Sub(t.renewed) >= claimRenewal {
@@ -113,6 +127,9 @@
 	if d.leader != nil {
 		v.Leader = d.leader.spec.Name
 	}
+	if d.leader != nil && !t.leaving {
+		v.Members = append(v.Members, takeover.Member{Name: v.Leader})
+	}
 	for i := range reports {
 		r := &reports[i]
 		m := takeover.Member{
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -183,3 +183,18 @@
 	assert.Equal(t, len(f.group.Lost()), 0)
 	c.eventually(3*time.Second, "WRITE item two")
 }
+
+// Guards against a proxy that never learns of a promotion because the store turns
+// it away.
+func TestProxyWithoutStoreFindsTheNewPrimary(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("WRITE item one")
+	f.store.SetFault(standin.StoreRefuses)
+	old := f.group.Leader()
+	old.Crash()
+	assert.Equal(t, f.group.Promote(f.group.Member(1).ID, 1), 200)
+	f.awaitNewLeader(old)
+	assert.DeepEqual(t, c.eventually(3*time.Second, "READ item").rows, []string{"one"})
+	c.eventually(3*time.Second, "WRITE item two")
+}
