Serve metrics of what callers get

Counters and histograms by consistency, rank and database on the metrics address of the settings, with the instruments that the other daemon uses.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
 
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/internal/managed"
@@ -57,29 +58,68 @@
 		Regions:   settings.Regions,
 		Log:       log,
 	})
-	callers, err := net.Listen("tcp4", settings.CallerAddress)
+	callers, err := listen(settings.CallerAddress)
 	if err != nil {
-		return oops.With("step", "listen", "peer", settings.CallerAddress).Wrap(err)
+		return err
 	}
-	probes, err := net.Listen("tcp4", settings.ReadyAddress)
-	if err != nil {
-		return oops.With("step", "listen", "peer", settings.ReadyAddress).Wrap(err)
+	ready := &http.Server{Handler: platform.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second}
+	if err := serveHTTP(log, ready, settings.ReadyAddress); err != nil {
+		return err
 	}
-	server := &http.Server{Handler: platform.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second}
-	go func() {
-		if err := telemetry.Serve(server, probes); err != nil {
-			log.WithField("event", "listener_failed").WithError(err).Error("readiness probes are not answered")
+	defer ready.Close()
+	if settings.MetricsAddress != "" {
+		metrics, err := p.EnableMetrics()
+		if err != nil {
+			return oops.With("step", "define_metrics").Wrap(err)
 		}
-	}()
-	defer server.Close()
-	ignoreReload()
+		server := metrics.NewServer(telemetry.Health{Live: func() string { return "" }, Ready: p.Ready})
+		if err := serveHTTP(log, server, settings.MetricsAddress); err != nil {
+			return err
+		}
+		defer server.Close()
+	}
+	logReloads(log)
 	stop := drainOnSignal(p)
 	defer stop()
-	log.WithField("event", "started").WithField("vm", settings.VM).WithField("availability_zone", settings.AvailabilityZone).Info("proxy started")
+	log.WithFields(logrus.Fields{
+		"event": "started", "vm": settings.VM, "availability_zone": settings.AvailabilityZone,
+		"shutdown_grace": settings.ShutdownGrace, "store": settings.StoreAddress, "build": version(),
+	}).Info("proxy started")
 	err = p.Serve(context.WithoutCancel(ctx), callers)
 	log.WithField("event", "stopped").Info("proxy stopped")
 	return err
 }
 
-// ignoreReload keeps SIGHUP from ending the process.
-func ignoreReload() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, oops.With("step", "listen", "peer", address).Wrap(err)
+	}
+	return listener, nil
+}
+
+// serveHTTP serves until the server is closed.
+func serveHTTP(log *logrus.Logger, server *http.Server, address string) error {
+	listener, err := listen(address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := telemetry.Serve(server, listener); err != nil {
+			log.WithField("event", "listener_failed").WithField("peer", address).WithError(err).Error("listener ended")
+		}
+	}()
+	return nil
+}
+
+// logReloads keeps SIGHUP from ending the process. What the settings say does not
+// change while a process runs, so there is nothing to load anew.
+func logReloads(log *logrus.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			log.WithField("event", "reload").Info("settings are kept until the next start")
+		}
+	}()
+}
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -23,10 +23,12 @@
 	// proxies shares the upstreams, neighbours of them are in this availability zone.
 	proxies, neighbours int
 	scheduler           *flood.Scheduler
-	waiting             map[entity.Handle]*waiter
-	handles             entity.Handle
-	timer               *time.Timer
-	refusals            []flood.Refusal
+	// ranks is the number of ranks of the scheduler's policy.
+	ranks    int
+	waiting  map[entity.Handle]*waiter
+	handles  entity.Handle
+	timer    *time.Timer
+	refusals []flood.Refusal
 
 	leader     *member
 	leaderTerm uint64
@@ -66,6 +68,8 @@
 	item   flood.Item
 	began  entity.Time
 	ended  bool
+	// leads is set if the member was the primary when the permit was granted.
+	leads bool
 }
 
 func newDatabase(p *Proxy, name entity.Database) *database {
@@ -135,7 +139,7 @@
 	}
 	w := d.waiting[item.Handle]
 	delete(d.waiting, item.Handle)
-	p := &permit{db: d, member: m, item: item, began: at}
+	p := &permit{db: d, member: m, item: item, began: at, leads: m == d.leader}
 	if p.link = m.takeIdle(w.settings); p.link == nil {
 		m.open++
 	}
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -156,6 +156,9 @@
 	previous := d.leader
 	d.leader, d.leaderTerm = m, term
 	d.proxy.events.leaderChanged(d.name, previous, m, term, reason)
+	if d.proxy.observer != nil && previous != m && m != nil {
+		d.proxy.observer.metrics.Database(string(d.name)).PrimaryChanged()
+	}
 	at := now()
 	if m != nil {
 		m.answered()
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +17,7 @@
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/flood"
+	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
 // Options are what a proxy is made of.
@@ -33,7 +37,9 @@
 type Proxy struct {
 	options Options
 	events  *events
-	drain   drainSchedule
+	// observer is nil if no metrics are served.
+	observer *observer
+	drain    drainSchedule
 
 	current atomic.Pointer[Document]
 	// configured is closed once the first configuration is in force.
@@ -48,6 +54,16 @@
 	ctx      context.Context
 }
 
+// EnableMetrics makes the proxy count what callers get. It must be called before Serve.
+func (p *Proxy) EnableMetrics() (*telemetry.Metrics, error) {
+	metrics, err := telemetry.New(p.sample)
+	if err != nil {
+		return nil, err
+	}
+	p.observer = &observer{metrics: metrics}
+	return metrics, nil
+}
+
 // New returns a proxy that is not serving yet.
 func New(options Options) *Proxy {
 	p := &Proxy{
@@ -103,7 +119,7 @@
 		p.databases[name] = d
 		d.mu.Lock()
 		d.limits = p.document().Databases[name]
-		d.scheduler.SetPolicy(policyOf(p.document()))
+		d.setPolicy(policyOf(p.document()))
 		d.applyShare(p.shareOf())
 		d.mu.Unlock()
 		go d.scout.run(p.ctx)
@@ -164,17 +180,20 @@
 
 // logPools logs the use of connections and queues, one line for each database.
 func (p *Proxy) logPools() {
-	p.mu.Lock()
-	databases := make([]*database, 0, len(p.databases))
-	for _, d := range p.databases {
-		databases = append(databases, d)
-	}
-	p.mu.Unlock()
-	for _, d := range databases {
+	for _, d := range p.list() {
 		p.events.pool(d.usage())
 	}
 }
 
+// list returns the databases in the order of their names.
+func (p *Proxy) list() []*database {
+	p.mu.Lock()
+	databases := slices.Collect(maps.Values(p.databases))
+	p.mu.Unlock()
+	slices.SortFunc(databases, func(a, b *database) int { return strings.Compare(string(a.name), string(b.name)) })
+	return databases
+}
+
 func (p *Proxy) accept(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
@@ -302,6 +321,9 @@
 		close(p.configured)
 	}
 	p.events.documentInForce(doc.Version, len(doc.Routes), false)
+	if p.observer != nil {
+		p.observer.metrics.DocumentInForce(operatorsDocument)
+	}
 	policy := policyOf(doc)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -311,7 +333,7 @@
 	for name, d := range p.databases {
 		d.mu.Lock()
 		d.limits = doc.Databases[name]
-		d.scheduler.SetPolicy(policy)
+		d.setPolicy(policy)
 		d.applyShare(p.shareOf())
 		d.mu.Unlock()
 	}
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -131,11 +131,14 @@
 
 // report logs a statement that failed or took longer than its route aims for.
 func (s *session) report(statement *Statement, reply Reply, took time.Duration) {
-	if reply.Code != CodeNone {
-		s.proxy.events.failed(s, statement, reply, took)
-		return
+	route, ok := s.proxy.route(s.host)
+	if ok && s.proxy.observer != nil {
+		s.proxy.observer.statement(s, statement, &route, reply, took)
 	}
-	if route, ok := s.proxy.route(s.host); ok && took > route.TargetLatency && route.TargetLatency > 0 {
+	switch {
+	case reply.Code != CodeNone:
+		s.proxy.events.failed(s, statement, reply, took)
+	case ok && route.TargetLatency > 0 && took > route.TargetLatency:
 		s.proxy.events.slow(s, statement, took)
 	}
 }
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -7,6 +7,7 @@
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/flood"
 	"skylarkhinge.dev/skylarkhinge/core/freshness"
+	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
 const (
@@ -124,6 +125,10 @@
 	}
 	a.session.stages.tries++
 	a.session.stages.member = p.member.spec.Name
+	a.session.stages.source = telemetry.SourceReplica
+	if p.leads {
+		a.session.stages.source = telemetry.SourcePrimary
+	}
 	return p, Reply{}
 }
 
--- a/internal/managed/stages.go
+++ b/internal/managed/stages.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
 // stages tells where the time of a statement went. A retried statement adds up
@@ -17,6 +18,8 @@
 	// tries counts the permits, member is the last one's.
 	tries  int
 	member entity.Upstream
+	// source is the kind of the last member.
+	source telemetry.Source
 	// floor is the position that the last read had to see.
 	floor entity.Position
 	// lagged, busy and readOnly count the tries that the upstream refused so.
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -201,6 +201,9 @@
 		return false
 	}
 	t.ordered = true
+	if o := t.db.proxy.observer; o != nil && err == nil {
+		o.metrics.Database(string(t.db.name)).Promoted()
+	}
 	return t.awaitLead(reports, target)
 }
 
