Explain a request from its id by the logs

skylarkhinge explain ID reads the logs of several proxies, merges them by time and prints the way from a failed request to its cause. Each line names its VM, request lines the group and the configuration in force.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 	addProxy,
 	addManaged,
 	addStatus,
+	addExplain,
 	addDrain,
 	addDocument,
 	addSettings,
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,43 @@
+package explain
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const sample = `noise without fields
+time="2026-12-04T05:00:02Z" level=info msg="state changed" event=primary_changed vm=b database=g from=u1 to=u2 term=2 reason=survey
+time="2026-12-04T05:00:01Z" level=info msg="state changed" event=takeover_began vm=a database=g fence=7 reason="primary does not answer"
+   34.2 host-1 time="2026-12-04T05:00:03Z" level=info msg="request failed" event=request_failed vm=a id=x1 database=d group=g code=in_doubt reason="no \"answer\"" peer=u1 took_ms=1000 queue_ms=0 connect_ms=0 proof_ms=0 run_ms=1000
+time="2026-12-04T05:00:02Z" level=info msg="state changed" event=store_lost vm=b step=follow
+time="2026-12-04T04:00:00Z" level=info msg="state changed" event=takeover_began vm=a database=g fence=1 reason=old
+time=broken
+`
+
+// Guards against lines in the wrong order, foreign lines and damaged ones that end the walk.
+func TestExplain(t *testing.T) {
+	log, err := Read(strings.NewReader(sample))
+	assert.NilError(t, err)
+	assert.Equal(t, log.Damaged, 2)
+	w, err := Explain(log, "x1")
+	assert.NilError(t, err)
+	assert.Equal(t, w.Requests[0].Fields["reason"], `no "answer"`)
+	var out strings.Builder
+	assert.NilError(t, w.Print(&out))
+	assert.Equal(t, out.String(), `05:00:01.000 a takeover_began database=g fence=7 reason=primary does not answer
+05:00:02.000 b primary_changed database=g from=u1 reason=survey term=2 to=u2
+05:00:03.000 a request_failed code=in_doubt connect_ms=0 database=d group=g id=x1 peer=u1 proof_ms=0 queue_ms=0 reason=no "answer" run_ms=1000 took_ms=1000
+cause: outcome unknown: u1 got the statement and did not answer; waited 0 ms in the queue, 0 ms for a connection, 0 ms for a proof, ran 1000 ms; 1000 ms before, b logged primary_changed reason=survey from=u1 to=u2 term=2
+`)
+}
+
+// Guards against an unknown id that looks like a request without a cause.
+func TestUnknownRequest(t *testing.T) {
+	log, err := Read(strings.NewReader(sample))
+	assert.NilError(t, err)
+	_, err = Explain(log, "x2")
+	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
+}
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -16,6 +16,7 @@
 // left out is counted in a line of its own.
 type events struct {
 	log     *logrus.Logger
+	vm      string
 	repeats telemetry.Repeats
 
 	mu      sync.Mutex
@@ -25,11 +26,13 @@
 	omitted map[Code]int
 }
 
-func newEvents(log *logrus.Logger, linesPerSecond int) *events {
-	return &events{log: log, perSec: linesPerSecond, omitted: map[Code]int{}}
+func newEvents(log *logrus.Logger, vm string, linesPerSecond int) *events {
+	return &events{log: log, vm: vm, perSec: linesPerSecond, omitted: map[Code]int{}}
 }
 
-func (e *events) line(event string) *logrus.Entry { return e.log.WithField("event", event) }
+func (e *events) line(event string) *logrus.Entry {
+	return e.log.WithFields(logrus.Fields{"event": event, "vm": e.vm})
+}
 
 // state logs a change of what the proxy believes. Such lines are always written.
 func (e *events) state(event string, fields logrus.Fields) {
@@ -73,7 +76,7 @@
 		return
 	}
 	e.line("request_failed").WithFields(logrus.Fields{
-		"id": statement.ID, "database": s.host, "code": reply.Code.String(), "reason": reply.Text,
+		"id": statement.ID, "database": s.host, "group": s.group(), "document": s.proxy.document().Version, "code": reply.Code.String(), "reason": reply.Text,
 		"took_ms": took.Milliseconds(), "caller": s.caller.Address(), "statement": statement.Kind,
 	}).WithFields(s.stages.fields()).Info("request failed")
 }
@@ -84,7 +87,7 @@
 		return
 	}
 	e.line("request_slow").WithFields(logrus.Fields{
-		"id": statement.ID, "database": s.host, "took_ms": took.Milliseconds(),
+		"id": statement.ID, "database": s.host, "group": s.group(), "took_ms": took.Milliseconds(),
 		"caller": s.caller.Address(), "statement": statement.Kind,
 	}).WithFields(s.stages.fields()).Info("request answered late")
 }
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -68,7 +68,7 @@
 func New(options Options) *Proxy {
 	p := &Proxy{
 		options:   options,
-		events:    newEvents(options.Log, options.Settings.LogLinesPerSecond),
+		events:    newEvents(options.Log, options.Settings.VM, options.Settings.LogLinesPerSecond),
 		databases: map[entity.Database]*database{},
 		byMember:  map[entity.Upstream]*database{},
 		sessions:  map[*session]struct{}{},
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -143,6 +143,12 @@
 	}
 }
 
+// group returns the database group that serves the session, empty if no route does.
+func (s *session) group() entity.Database {
+	route, _ := s.proxy.route(s.host)
+	return route.Database
+}
+
 func (s *session) execute(statement *Statement, arrived entity.Time) (Reply, TransactionState) {
 	if statement.Kind == StatementInvalid {
 		return failure(CodeMalformed, "statement is unknown"), s.transactionState()
