--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -70,12 +70,22 @@
 	}
 	s.host = message.Database
 	if _, ok := s.proxy.awaitRoute(s.host); !ok {
-		s.reject(CodeUnknownDatabase, "no route for this database")
+		s.rejectUnknown()
 		return false
 	}
 	return s.caller.Welcome() == nil
 }
 
+// rejectUnknown refuses a database without a route. Without a configuration the
+// proxy cannot know whether there is one.
+func (s *session) rejectUnknown() {
+	if s.proxy.document().Version == 0 {
+		s.reject(CodeBusy, "no configuration yet")
+		return
+	}
+	s.reject(CodeUnknownDatabase, "no route for this database")
+}
+
 // reject ends the session with an error. The connection closes next, so a
 // failed write has no consequence.
 func (s *session) reject(code Code, text string) { _ = s.caller.Reject(code, text) }
--- a/internal/managed/session_test.go
+++ b/internal/managed/session_test.go
@@ -242,3 +242,13 @@
 		c.ok("READ item")
 	}
 }
+
+// Guards against a proxy without a configuration that calls every database unknown.
+func TestSessionWithoutConfiguration(t *testing.T) {
+	f := newFleet(t, 0)
+	f.store.SetFault(2)
+	n := f.start(0)
+	assert.Equal(t, n.connect(t, strictDB).line(), "ERROR BUSY no configuration yet")
+	f.store.SetFault(0)
+	waitFor(t, 5*time.Second, "a session", func() bool { return n.connect(t, strictDB).line() == "READY I -" })
+}
