Stop asking a primary that does not answer a planned takeover

Change: such a primary counts as lost after one survey; three failed connections of requests count as a failed status call; pauses are looked for only after a claim ended and once after the start.

--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -132,6 +132,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.claim.revision != 0 && record.revision == 0 {
+		d.scout.checkHeldLater()
+	}
 	d.claim = record
 	d.scout.wake()
 }
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -24,6 +24,9 @@
 	// primary counts as lost: one that refuses connections is down for certain.
 	refusedMisses = 2
 	silentMisses  = 2
+	// requestFailures is the number of connections that failed for requests which
+	// together count as a failed status call.
+	requestFailures = 3
 	// leaderlessWait is how long no member may claim to lead before a takeover.
 	leaderlessWait = 700 * time.Millisecond
 	// proofAge is the age at which the newest proof is renewed while reads come.
@@ -34,9 +37,11 @@
 	// proxy, and inspectors is how many proxies do so for each database.
 	inspectionInterval = 1500 * time.Millisecond
 	inspectors         = 3
-	// heldCheckInterval is the time between looks for abandoned pauses, by one
-	// proxy. Status calls are priced like health checks.
-	heldCheckInterval = 6 * time.Second
+	// heldCheckDelay is the time from the start, or from the end of a claim, to
+	// the look for abandoned pauses by heldInspectors proxies. Only takeovers
+	// pause replicas, and status calls are priced like health checks.
+	heldCheckDelay = 4 * time.Second
+	heldInspectors = 2
 	// stallWindow is the time within which a healthy primary's replicas receive
 	// something if writes wait.
 	stallWindow = 300 * time.Millisecond
@@ -55,15 +60,21 @@
 	leaderlessSince entity.Time
 	nextTakeover    entity.Time
 	nextInspection  entity.Time
-	nextHeldCheck   entity.Time
+	// heldCheckAt is when to look for abandoned pauses, 0 if there is no reason to.
+	heldCheckAt atomic.Int64
 	// warmed is set once the first connections were opened.
 	warmed bool
 }
 
 func newScout(d *database) *scout {
-	return &scout{db: d, wakeup: make(chan struct{}, 1)}
+	s := &scout{db: d, wakeup: make(chan struct{}, 1)}
+	s.checkHeldLater()
+	return s
 }
 
+// checkHeldLater makes the scout look for abandoned pauses after a while.
+func (s *scout) checkHeldLater() { s.heldCheckAt.Store(int64(now().Add(heldCheckDelay))) }
+
 // wake makes the scout look at once.
 func (s *scout) wake() {
 	select {
@@ -175,8 +186,8 @@
 		s.nextInspection = at.Add(inspectionInterval)
 		s.inspectLeader(at, leader)
 	}
-	if place == 0 && at >= s.nextHeldCheck {
-		s.nextHeldCheck = at.Add(heldCheckInterval)
+	if due := entity.Time(s.heldCheckAt.Load()); place < heldInspectors && due != 0 && at >= due {
+		s.heldCheckAt.Store(0)
 		s.inspectReplicas(leader)
 	}
 }
@@ -450,6 +461,9 @@
 		s.silent++
 	}
 	s.db.proxy.events.leaderMissed(s.db.name, leader, s.misses, r.err)
+	if s.db.failuresOf(leader) >= requestFailures {
+		s.misses = max(s.misses, silentMisses)
+	}
 	limit := refusedMisses
 	if s.silent > 0 {
 		limit = silentMisses
@@ -465,6 +479,12 @@
 	s.takeOver(false, "primary does not answer")
 }
 
+func (d *database) failuresOf(m *member) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return m.failures
+}
+
 func (s *scout) others(leader *member) []*member {
 	return slices.DeleteFunc(s.db.all(), func(m *member) bool { return m == leader })
 }
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -138,6 +138,8 @@
 		}
 		if r.member == d.leader {
 			v.LeaderHealthy = t.leaving && m.Reached && m.Primary
+			// A primary that does not answer is lost; it is not asked again.
+			t.leaving = t.leaving && m.Reached
 		}
 		v.Members = append(v.Members, m)
 	}
