--- a/config/managed.go
+++ b/config/managed.go
@@ -73,7 +73,7 @@
 		field{"promotion_address", true, d.address(&s.PromotionAddress)},
 		field{"shutdown_grace_s", false, d.span(&s.ShutdownGrace, time.Second, time.Second, time.Hour)},
 		field{"leaving_grace_ms", false, d.span(&s.LeavingGrace, time.Millisecond, 100*time.Millisecond, time.Hour)},
-		field{"max_descriptors", false, integer(d, &s.MaxDescriptors, 64, 10_000_000)},
+		field{"max_descriptors", false, integer(d, &s.MaxDescriptors, 1000, 10_000_000)},
 		field{"log_level", false, choice(d, &s.LogLevel, LogDebug, LogInfo, LogWarning, LogError)},
 		field{"log_lines_per_second", false, integer(d, &s.LogLinesPerSecond, 1, 100_000)},
 	)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -186,3 +186,34 @@
 	assert.Equal(t, r.run(t, "document get x --settings=../../docs/examples/settings.json"), ExitFailed)
 	assert.DeepEqual(t, r.options.Addresses, []string{"127.0.0.1:7400", "127.0.0.1:7401"})
 }
+
+const managedSettings = `{"vm":"vm-1","availability_zone":"a","region":"r","availability_zones":{"a":"r"},
+"caller_address":"127.0.0.1:1","ready_address":"127.0.0.1:2","store_address":"127.0.0.1:3","promotion_address":"127.0.0.1:4",
+"shutdown_grace_s":6,"leaving_grace_ms":7000.5}`
+
+// Guards against a daemon that starts with settings that it does not understand.
+func TestManagedSettings(t *testing.T) {
+	r := &runner{stdin: managedSettings}
+	assert.Equal(t, r.run(t, "managed check -"), ExitOK)
+	assert.Assert(t, strings.Contains(r.stdout.String(), "ShutdownGrace:6s LeavingGrace:7.0005s"), r.stdout.String())
+
+	r = &runner{stdin: strings.NewReplacer(`"shutdown_grace_s":6`, `"shutdown_grace_s":-1`, `127.0.0.1:2`, `127.0.0.1:1`, `"vm":"vm-1"`, `"wm":"x"`).Replace(managedSettings)}
+	assert.Equal(t, r.run(t, "managed check -"), ExitFailed)
+	for _, path := range []string{"$.vm is missing", "$.wm is", "$.shutdown_grace_s is -1", "$.ready_address is"} {
+		assert.Assert(t, strings.Contains(r.stderr.String(), path), r.stderr.String())
+	}
+}
+
+// Guards against an unknown id that looks like success, and against damaged lines
+// that end the command.
+func TestExplain(t *testing.T) {
+	line := `time="2026-12-04T05:00:03Z" level=info event=request_failed vm=a id=x1 group=g code=busy reason="not run" took_ms=5` + "\n"
+	r := &runner{stdin: "damaged\n" + line}
+	assert.Equal(t, r.run(t, "explain x1"), ExitOK)
+	assert.Assert(t, strings.Contains(r.stdout.String(), "cause: not run: no slot of g was free in time"), r.stdout.String())
+	assert.Equal(t, r.stderr.String(), "skylarkhinge: 1 lines could not be read and were skipped\n")
+
+	r = &runner{stdin: line}
+	assert.Equal(t, r.run(t, "explain x2"), ExitFailed)
+	assert.Equal(t, r.stderr.String(), "skylarkhinge: no line has this request: \"x2\"\n")
+}
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -19,15 +20,26 @@
 )
 
 func addManaged(r *Registry) {
-	command := r.App.Command("managed", "Run the proxy daemon in front of databases whose leadership the platform arbitrates.\n\nSIGTERM starts a drain within the grace period of the settings.")
-	file := command.Flag("settings", "Settings file.").Envar("SKYLARKHINGE_NODE_FILE").Required().PlaceHolder("FILE").String()
-	r.Add(command, func(ctx context.Context) error {
+	group := r.App.Command("managed", "The proxy daemon in front of databases whose leadership the platform arbitrates.")
+	run := group.Command("run", "Run the daemon.\n\nSIGTERM starts a drain within the grace period of the settings.").Default()
+	file := run.Flag("settings", "Settings file.").Envar("SKYLARKHINGE_NODE_FILE").Required().PlaceHolder("FILE").String()
+	r.Add(run, func(ctx context.Context) error {
 		settings, err := readManagedSettings(r.Env, *file)
 		if err != nil {
 			return err
 		}
 		return runManaged(ctx, r.Env, settings)
 	})
+	check := group.Command("check", "Check a settings file and print the settings in effect, or all its faults.")
+	checked := check.Arg("file", "Settings file, or - for standard input.").Required().String()
+	r.Add(check, func(context.Context) error {
+		settings, err := readManagedSettings(r.Env, *checked)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(r.Env.Stdout, "%+v\n", *settings)
+		return err
+	})
 }
 
 func readManagedSettings(env *Environment, file string) (*config.ManagedSettings, error) {
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -118,7 +118,7 @@
 func (d *database) dispatch(at entity.Time) {
 	for d.scheduler.Len(flood.LanePrimary) > 0 {
 		m := d.leader
-		if m == nil || !m.available(at) || !m.hasConnection(at, d.share) || m.running >= d.room(m) {
+		if m == nil || !d.accepts(m, at) || !m.hasConnection(at, d.share) || m.running >= d.room(m) {
 			break
 		}
 		d.grantNext(at, flood.LanePrimary, m)
@@ -152,7 +152,7 @@
 	var best *member
 	var bestCandidate placement.Candidate
 	for _, m := range d.members {
-		if !m.available(at) || !m.hasConnection(at, d.share) || at < m.lagUntil || m.leavingSince != 0 || m.running >= d.room(m) {
+		if !d.accepts(m, at) || !m.hasConnection(at, d.share) || at < m.lagUntil || m.leavingSince != 0 || m.running >= d.room(m) {
 			continue
 		}
 		c := placement.Candidate{
@@ -184,6 +184,19 @@
 	return max(1, (queueFactor*m.spec.Slots+sharing-1)/sharing)
 }
 
+// accepts reports whether a member may get new work. A leaving primary serves on
+// until its successor leads, but not past its time. The mutex is held.
+func (d *database) accepts(m *member, at entity.Time) bool {
+	if m.leavingSince != 0 && at.Sub(m.leavingSince) > d.proxy.options.Settings.LeavingGrace-leavingMargin {
+		return false
+	}
+	return m.available(at)
+}
+
+// leavingMargin is left of the time of a leaving upstream for statements that are
+// on their way to it.
+const leavingMargin = time.Second
+
 // arm sets the timer for the next expiry or the end of a pause.
 func (d *database) arm(at entity.Time) {
 	next := d.scheduler.NextExpiry()
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -212,11 +212,23 @@
 // acceptPause follows a failed accept, which is mostly a lack of descriptors.
 const acceptPause = 20 * time.Millisecond
 
+// descriptorReserve is the part of the descriptors that is not for callers: files,
+// listeners, the store and the upstreams.
+const descriptorReserve = 600
+
 func (p *Proxy) serveCaller(conn net.Conn) {
 	s := &session{proxy: p, caller: p.options.NewCaller(conn)}
 	p.mu.Lock()
-	p.sessions[s] = struct{}{}
+	full := len(p.sessions) >= p.options.Settings.MaxDescriptors-descriptorReserve
+	if !full {
+		p.sessions[s] = struct{}{}
+	}
 	p.mu.Unlock()
+	if full {
+		s.reject(CodeConnectionLimit, "proxy has no descriptors left")
+		s.close()
+		return
+	}
 	s.serve()
 	p.mu.Lock()
 	delete(p.sessions, s)
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -198,3 +198,20 @@
 	assert.DeepEqual(t, c.eventually(3*time.Second, "READ item").rows, []string{"one"})
 	c.eventually(3*time.Second, "WRITE item two")
 }
+
+// Guards against new work at an upstream that has announced long ago that it
+// leaves, while the store keeps every proxy from replacing it.
+func TestLeavingPrimaryGetsNoWorkPastItsTime(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, strictDB)
+	c.ok("READ item")
+	old := f.group.Leader()
+	f.group.SetPromotable(false)
+	old.SetLeaving(true)
+	waitFor(t, time.Second, "the entry", func() bool { return len(f.nodes[0].log.find("leaving=true")) > 0 })
+	f.store.SetFault(standin.StoreRefuses)
+	time.Sleep(6500 * time.Millisecond)
+	before := len(f.group.Runs())
+	assert.Equal(t, c.query("READ item").code, "BUSY")
+	assert.Equal(t, len(f.group.Runs()), before)
+}
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -9,7 +9,7 @@
 	"skylarkhinge.dev/skylarkhinge/core"
 )
 
-// SQLSTATEs of the proxy's own answers. docs/operations.md describes them.
+// SQLSTATEs of the proxy's own answers. docs/OPERATIONS.md describes them.
 const (
 	// CodeNotRun means that the request did not run.
 	CodeNotRun = "SH001"
--- a/internal/proxy/wire_test.go
+++ b/internal/proxy/wire_test.go
@@ -54,7 +54,7 @@
 }
 
 // Guards against a conversation that differs from what a server's would be, or
-// from what docs/operations.md states, at the owner or through an entry.
+// from what docs/OPERATIONS.md states, at the owner or through an entry.
 func TestSessions(t *testing.T) {
 	f := newFleet(t, 2, upstream.Options{})
 	scripts, err := filepath.Glob("testdata/wire/*.script")
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -33,7 +33,7 @@
 	return w.Code, string(body)
 }
 
-// Guards against names and labels that differ from docs/operations.md.
+// Guards against names and labels that differ from docs/OPERATIONS.md.
 func TestNamesAndLabels(t *testing.T) {
 	m := newTestMetrics(t, func(context.Context) (Sample, error) {
 		return Sample{
