Take no group over of which only a part is listed

All proxies had just started while the store came back; entries of upstreams had lapsed with it and returned one after the other. A proxy saw one replica and no primary, paused and promoted that replica, while the primary acknowledged commits through the replica that was not listed yet. The check for missing members asked for a confirmed position, which a proxy that has just started lacks. The case by Proven is replaced by these stricter ones.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -10,14 +10,15 @@
 //   - If the primary leaves in good health, all replicas but the successor are
 //     paused. The successor goes on receiving, so that writes go on until the
 //     lead changes, and is named once it holds what every other one holds.
-//   - A replica that cannot be asked may be the only holder. Then nothing is
-//     named until it answers or is known to be gone.
+//   - A replica that cannot be asked, or that is not listed, may be the only
+//     holder. Then nothing is named until it answers or is known to be gone.
 //
 // A pause ends with the promotion. It is never lifted while an order to promote
 // may still be under way, since that order may be carried out late.
 package takeover
 
 import (
+	"fmt"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -45,14 +46,11 @@
 	Term   uint64
 	// LeaderHealthy is set if the leader answers and replicates.
 	LeaderHealthy bool
-	// Proven is the highest position that any proxy saw confirmed, as far as
-	// this one knows.
-	Proven entity.Position
 	// Members are all upstreams that are listed or were until a moment ago.
 	Members []Member
 	// Expected is the number of members that the group had when it was whole.
 	Expected int
-	// Waited is how long the takeover has been under way.
+	// Waited is how long the group has been without a part of its members.
 	Waited time.Duration
 }
 
@@ -108,10 +106,13 @@
 			return Decision{Step: StepWait, Reason: "replica " + string(m.Name) + " does not answer"}
 		}
 	}
+	if known := len(replicas); known < v.Expected-1 && v.Waited < incompleteWait {
+		return Decision{Step: StepWait, Reason: fmt.Sprintf("only %d of %d replicas are known", known, v.Expected-1)}
+	}
 	if v.LeaderHealthy {
 		return decideHealthy(replicas, newest)
 	}
-	return decideLost(&v, replicas, newest)
+	return decideLost(replicas, newest)
 }
 
 func replicasOf(v *View) []*Member {
@@ -178,7 +179,7 @@
 }
 
 // decideLost pauses every replica and names the furthest.
-func decideLost(v *View, replicas []*Member, newest uint64) Decision {
+func decideLost(replicas []*Member, newest uint64) Decision {
 	var pause []entity.Upstream
 	var target *Member
 	for _, m := range replicas {
@@ -192,10 +193,6 @@
 	if len(pause) > 0 {
 		return Decision{Step: StepPause, Pause: pause, Term: newest + 1, Reason: "primary is lost"}
 	}
-	incomplete := len(v.Members) < v.Expected && target.Received.Less(v.Proven)
-	if incomplete && v.Waited < incompleteWait {
-		return Decision{Step: StepWait, Reason: "the furthest replica lacks a position that was confirmed"}
-	}
 	return Decision{Step: StepPromote, Target: target.Name, Reason: "primary is lost"}
 }
 
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -32,7 +32,6 @@
 	leaving.Leaving = true
 	newer := Member{Name: "b", Reached: true, Primary: true, Term: 2}
 	incomplete := lost(replica("a", 10, 2))
-	incomplete.Proven = pos(1, 12)
 	waited := incomplete
 	waited.Waited = incompleteWait
 	for _, c := range []struct {
@@ -50,8 +49,10 @@
 			Decision{Step: StepWait, Reason: "replica b does not answer"}},
 		{"a leaving replica that is ahead is named all the same", lost(leaving, replica("b", 12, 2)),
 			Decision{Step: StepPromote, Target: "a", Reason: "primary is lost"}},
-		{"a replica that lacks a confirmed position waits for the missing one", incomplete,
-			Decision{Step: StepWait, Reason: "the furthest replica lacks a position that was confirmed"}},
+		{"a replica that is not listed yet may be the only holder", incomplete,
+			Decision{Step: StepWait, Reason: "only 1 of 2 replicas are known"}},
+		{"a primary that leaves waits for it as well", healthy(replica("a", 10, 0)),
+			Decision{Step: StepWait, Reason: "only 1 of 2 replicas are known"}},
 		{"the missing one stays away", waited,
 			Decision{Step: StepPromote, Target: "a", Reason: "primary is lost"}},
 		{"another primary leads already", lost(replica("a", 10, 0), newer),
@@ -81,7 +82,7 @@
 }
 
 func (s *simulated) view(t *rapid.T, leaving bool) View {
-	v := View{Leader: "m0", Term: 1, Expected: 3, Proven: pos(1, s.acked)}
+	v := View{Leader: "m0", Term: 1, Expected: 3}
 	for i := range 3 {
 		m := Member{Name: entity.Upstream(fmt.Sprintf("m%d", i)), Term: s.term}
 		if !s.down[i] && rapid.IntRange(0, 9).Draw(t, "lost answer") > 0 {
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -25,6 +25,9 @@
 	// is among them.
 	gateways []gateway.Proxy
 	serves   bool
+	// listedSince is when a member of an incomplete group was last listed for the
+	// first time, changedSince when the set of members last changed.
+	listedSince, changedSince entity.Time
 	// usedAt is the last statement that this proxy ran itself.
 	usedAt entity.Time
 	// proxies shares the upstreams, neighbours of them are in this availability zone.
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -88,6 +88,10 @@
 	if !known {
 		m = &member{spec: spec, distance: distance}
 		d.members[spec.Name] = m
+		if len(d.members) <= groupSize {
+			d.listedSince = at
+		}
+		d.changedSince = at
 		d.applyShare(d.proxy.users(d.name, d.usableConnections()))
 	}
 	changed := !known || m.spec != spec || m.missingSince != 0
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -251,6 +251,7 @@
 		}
 		m.idle = nil
 		delete(d.members, name)
+		d.changedSince = at
 		d.proxy.events.memberGone(d.name, name)
 	}
 }
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -28,7 +28,7 @@
 // takeOver promotes a successor if this proxy gets the claim.
 func (s *scout) takeOver(leaving bool, reason string) {
 	d := s.db
-	if now() < s.nextTakeover {
+	if now() < s.nextTakeover || !d.settled() {
 		return
 	}
 	s.nextTakeover = now().Add(takeoverPause())
@@ -45,6 +45,18 @@
 	s.misses, s.silent = 0, 0
 }
 
+// settleTime is how long a proxy that has just started takes no lost primary over.
+// Entries that lapsed with the store are back within two seconds of its return.
+const settleTime = 3 * time.Second
+
+// settled reports whether the listed members are the whole group, as far as time
+// can tell.
+func (d *database) settled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now().Sub(d.listedSince) >= settleTime
+}
+
 // takeoverRun is one takeover by this proxy.
 type takeoverRun struct {
 	scout   *scout
@@ -120,9 +132,8 @@
 	defer d.mu.Unlock()
 	v := takeover.View{
 		Term:     d.leaderTerm,
-		Proven:   d.history.Highest(),
 		Expected: groupSize,
-		Waited:   now().Sub(t.began),
+		Waited:   now().Sub(d.changedSince),
 	}
 	if d.leader != nil {
 		v.Leader = d.leader.spec.Name
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -215,3 +215,23 @@
 	assert.Equal(t, c.query("READ item").code, "BUSY")
 	assert.Equal(t, len(f.group.Runs()), before)
 }
+
+// Guards against a takeover by a proxy that has just started and sees only one
+// replica: entries lapse with the store and come back one after the other, and the
+// replica that is not listed yet may hold the last commits.
+func TestNoTakeoverWithAPartOfTheGroup(t *testing.T) {
+	f := newFleet(t, 0)
+	f.group.Member(0).SetListed(false)
+	f.group.Member(2).SetListed(false)
+	for i := range 3 {
+		f.store.Remove("servers/" + f.group.Member(i).ID)
+	}
+	f.nodes = append(f.nodes, f.start(0))
+	waitFor(t, 5*time.Second, "the only entry", func() bool { return len(f.nodes[0].log.find("event=upstream_listed")) > 0 })
+	time.Sleep(5 * time.Second)
+	assert.Equal(t, len(f.store.Promotions()), 0)
+	f.group.Member(0).SetListed(true)
+	f.group.Member(2).SetListed(true)
+	f.nodes[0].open(t, strictDB).eventually(3*time.Second, "WRITE item x")
+	assert.Equal(t, len(f.store.Promotions()), 0)
+}
