Never repeat an order with a refused fence token

Cause: after a 409 the same takeover ordered again with the same token. Change: a refused token ends the takeover; the next one has a new token. Test, which failed before: TestRefusedTokenIsNotUsedAgain.

--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -69,12 +69,15 @@
 	// ordered is set once an order was sent whose outcome is open. Pauses are
 	// not lifted then, since the order may be carried out late.
 	ordered bool
+	// refused is set once the platform refused the fence token. It is not used
+	// again: the next takeover has a new one.
+	refused bool
 }
 
 func (t *takeoverRun) run() {
 	t.renewed = t.began
 	for now().Sub(t.began) < takeoverLimit || t.ordered {
-		if !t.renew() {
+		if t.refused || !t.renew() {
 			break
 		}
 		reports := t.scout.survey(Command{Kind: CommandStatus}, t.asked())
@@ -210,7 +213,7 @@
 		return false
 	case errors.Is(err, ErrFenced):
 		// The target does not run, or another proxy acted with a newer token.
-		time.Sleep(takeoverPause())
+		t.refused = true
 		return false
 	}
 	t.ordered = true
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -235,3 +235,21 @@
 	f.nodes[0].open(t, strictDB).eventually(3*time.Second, "WRITE item x")
 	assert.Equal(t, len(f.store.Promotions()), 0)
 }
+
+// Guards against a proxy that repeats an order with a fence token that the platform
+// refused.
+func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
+	f := newFleet(t, 1)
+	f.nodes[0].open(t, strictDB).ok("READ item")
+	f.group.SetPromotable(false)
+	f.group.Leader().Crash()
+	refused := func() []string { return f.nodes[0].log.find("event=promotion_ordered", "error=") }
+	waitFor(t, failoverLimit, "three refused orders", func() bool { return len(refused()) >= 3 })
+	tokens := map[string]bool{}
+	for _, line := range refused() {
+		_, rest, _ := strings.Cut(line, " fence=")
+		token, _, _ := strings.Cut(rest, " ")
+		assert.Assert(t, !tokens[token], "token %s was used twice", token)
+		tokens[token] = true
+	}
+}
