Repeat reads whose answer is lost on an open connection

Cause: upstreams lose answers without closing the connection; a read then waited 1 to 3 s and ended as a time-out. Change: a read is repeated, twice at most, after 450 ms or eight times the member's recent latency. Test, which failed before: TestSwallowedAnswerOfAReadIsRepeatedInTime.

--- a/internal/managed/session_test.go
+++ b/internal/managed/session_test.go
@@ -252,3 +252,17 @@
 	f.store.SetFault(0)
 	waitFor(t, 5*time.Second, "a session", func() bool { return n.connect(t, strictDB).line() == "READY I -" })
 }
+
+// Guards against a read that waits for its whole time for an answer that was lost
+// on an open connection.
+func TestSwallowedAnswerOfAReadIsRepeatedInTime(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, boundedDB)
+	c.ok("READ item")
+	for i := range 3 {
+		f.group.Member(i).SwallowAnswers(1)
+	}
+	began := time.Now()
+	c.ok("READ item")
+	assert.Assert(t, time.Since(began) < 900*time.Millisecond, "%v", time.Since(began))
+}
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -32,6 +32,8 @@
 	since entity.Time
 	// lagged counts the members that lacked the floor.
 	lagged int
+	// lost counts the tries whose answer counts as lost before the deadline.
+	lost int
 	// rolledBack is set once the primary itself lacked the floor: the session's
 	// last position was beyond what the promotion kept.
 	rolledBack bool
@@ -94,7 +96,7 @@
 		}
 	}
 	sent := now()
-	reply, err := a.exchange(p, statement, floor)
+	reply, err := a.exchange(p, statement, floor, a.answerLimit(p, writes))
 	if err != nil {
 		p.broke(err)
 		return a.broken(writes, err)
@@ -103,18 +105,47 @@
 }
 
 // exchange sends the statement behind the session's state.
-func (a *attempt) exchange(p *permit, statement *Statement, floor entity.Position) (Reply, error) {
+func (a *attempt) exchange(p *permit, statement *Statement, floor entity.Position, limit entity.Time) (Reply, error) {
 	s := &a.session.state
 	defer since(&a.session.stages.run, now())
 	a.session.stages.floor = floor
 	commands := append(p.link.prelude(s, statement), s.command(statement, floor))
-	replies, err := p.link.exchange(wall(a.deadline, now()), commands...)
+	replies, err := p.link.exchange(wall(limit, now()), commands...)
 	if err != nil {
 		return Reply{}, err
 	}
 	return replies[len(replies)-1], nil
 }
 
+const (
+	// lostAnswerFactor and lostAnswerMin tell when the answer to a read counts as
+	// lost: at this multiple of the member's recent latency, and not before the
+	// longest statements and a full queue of the upstream are through.
+	lostAnswerFactor = 8
+	lostAnswerMin    = 450 * time.Millisecond
+	// maxLostAnswers bounds how often one read is repeated for a lost answer.
+	maxLostAnswers = 2
+)
+
+// answerLimit returns when to give a try up. A read is repeated on another
+// connection while its caller still waits; a write is not.
+func (a *attempt) answerLimit(p *permit, writes bool) entity.Time {
+	if writes || a.lost >= maxLostAnswers {
+		return a.deadline
+	}
+	d := a.db
+	d.mu.Lock()
+	latency := p.member.latency
+	d.mu.Unlock()
+	wait := max(lostAnswerMin, lostAnswerFactor*latency)
+	limit := now().Add(wait)
+	if limit.Add(wait/2) >= a.deadline {
+		return a.deadline
+	}
+	a.lost++
+	return limit
+}
+
 // acquire waits for a permit.
 func (a *attempt) acquire() (*permit, Reply) {
 	start := now()
