--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -24,6 +24,8 @@
 	Region           string
 	// Address is where other proxies hand sessions over.
 	Address string
+	// StatusAddress is where it answers HTTP requests of other proxies.
+	StatusAddress string
 }
 
 // MinShare is the least number of connections to an upstream with which a gateway
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -66,6 +66,7 @@
 		Store:     platform.NewStore(settings.StoreAddress),
 		Protocol:  platform.Lines{VM: settings.VM},
 		Promoter:  platform.NewPromotions(settings.PromotionAddress),
+		Documents: platform.NewDocuments(),
 		NewCaller: platform.NewCaller,
 		Regions:   settings.Regions,
 		Log:       log,
@@ -91,6 +92,10 @@
 			return oops.With("step", "define_metrics").Wrap(err)
 		}
 		server := metrics.NewServer(telemetry.Health{Live: func() string { return "" }, Ready: p.Ready})
+		mux := http.NewServeMux()
+		mux.Handle("/", server.Handler)
+		mux.HandleFunc("GET "+managed.DocumentPath, p.ServeDocument)
+		server.Handler = mux
 		if err := serveHTTP(log, server, settings.MetricsAddress); err != nil {
 			return err
 		}
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -269,6 +269,8 @@
 	Databases map[entity.Database]DatabaseLimits
 	// TransactionIdle is how long a transaction may stay idle.
 	TransactionIdle time.Duration
+	// Source is the configuration as it was read, for other proxies.
+	Source []byte
 }
 
 // Errors of the store.
@@ -315,6 +317,12 @@
 	EndLease(ctx context.Context, lease uint64) error
 }
 
+// Documents asks other proxies for their configuration.
+type Documents interface {
+	// Fetch returns the configuration in force at the proxy with the address.
+	Fetch(ctx context.Context, address string) (*Document, error)
+}
+
 // Errors of the promotion API.
 var (
 	// ErrFenced means that a newer fence token was used, or that the member does not run.
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -170,6 +170,10 @@
 	e.state("document_in_force", logrus.Fields{"version": version, "routes": routes, "outdated": outdated})
 }
 
+func (e *events) relayed(from entity.VM, version uint64) {
+	e.state("document_relayed", logrus.Fields{"peer": from, "version": version})
+}
+
 func (e *events) proxiesChanged(count int) {
 	e.state("proxies_changed", logrus.Fields{"proxies": count})
 }
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -126,16 +128,21 @@
 	peers, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	settings.PeerAddress = peers.Addr().String()
+	status := httptest.NewUnstartedServer(nil)
+	settings.MetricsAddress = status.Listener.Addr().String()
 	lines := &lineLog{}
 	log := logrus.New()
 	log.SetOutput(lines)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
 	n := &node{log: lines, done: make(chan error, 1)}
 	n.proxy = managed.New(managed.Options{
-		Settings: &settings, Store: platform.NewStore(f.store.Address()), Protocol: platform.Lines{VM: settings.VM},
-		Promoter: platform.NewPromotions(f.store.Address()), NewCaller: n.accept, Log: log,
+		Settings: &settings, Store: platform.NewStore(f.store.AddressFor(settings.VM)), Protocol: platform.Lines{VM: settings.VM},
+		Promoter: platform.NewPromotions(f.store.Address()), Documents: platform.NewDocuments(), NewCaller: n.accept, Log: log,
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	})
+	status.Config.Handler = http.HandlerFunc(n.proxy.ServeDocument)
+	status.Start()
+	f.t.Cleanup(status.Close)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	n.address = listener.Addr().String()
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -25,6 +25,8 @@
 	Store    Store
 	Protocol Protocol
 	Promoter Promoter
+	// Documents asks other proxies for their configuration; it may be nil.
+	Documents Documents
 	// NewCaller returns the protocol of an accepted connection.
 	NewCaller func(net.Conn) Caller
 	// Regions has the region of each availability zone.
--- a/internal/managed/session_test.go
+++ b/internal/managed/session_test.go
@@ -266,3 +266,18 @@
 	c.ok("READ item")
 	assert.Assert(t, time.Since(began) < 900*time.Millisecond, "%v", time.Since(began))
 }
+
+// Guards against a proxy that the store turns away and that keeps an old
+// configuration for as long.
+func TestConfigurationReachesAProxyWithoutStore(t *testing.T) {
+	f := newFleet(t, 3)
+	f.nodes[2].open(t, strictDB)
+	waitFor(t, 5*time.Second, "all proxies are listed", func() bool {
+		return len(f.nodes[2].log.find("event=proxies_changed", "proxies=3")) > 0
+	})
+	f.store.TurnAway("vm-2")
+	f.routes = append(f.routes, route("late", "primary", 0, 500))
+	f.configure()
+	waitFor(t, 8*time.Second, "the new route", func() bool { return f.nodes[2].connect(t, "late").line() == "READY I -" })
+	assert.Assert(t, len(f.nodes[2].log.find("event=document_relayed")) > 0)
+}
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -60,6 +60,8 @@
 	Region           string `json:"region"`
 	// PeerAddress is where other proxies hand sessions over.
 	PeerAddress string `json:"peer_address"`
+	// StatusAddress is where they ask for the configuration.
+	StatusAddress string `json:"status_address"`
 }
 
 // storeSync keeps the proxy's view of the store: the configuration, the
@@ -68,7 +70,9 @@
 	proxy    *Proxy
 	revision uint64
 	lost     time.Time
-	lease    uint64
+	// lostNow is set while the store does not answer.
+	lostNow atomic.Bool
+	lease   uint64
 	// reregister tells that the own entry vanished.
 	reregister chan struct{}
 	// watching cancels the watch under way.
@@ -85,6 +89,9 @@
 		defer close(done)
 		s.keepListed(ctx)
 	}()
+	if s.proxy.options.Documents != nil {
+		go s.relayDocuments(ctx)
+	}
 	s.follow(ctx)
 	<-done
 }
@@ -108,6 +115,7 @@
 		}
 		if s.lost.IsZero() {
 			s.lost = time.Now()
+			s.lostNow.Store(true)
 			s.proxy.events.storeLost("follow", err)
 		}
 		sleep(ctx, pause/2+rand.N(pause))
@@ -119,6 +127,7 @@
 	if !s.lost.IsZero() {
 		s.proxy.events.storeRegained(time.Since(s.lost))
 		s.lost = time.Time{}
+		s.lostNow.Store(false)
 	}
 }
 
@@ -218,6 +227,7 @@
 	} else {
 		p.proxies.listed[name] = gateway.Proxy{
 			VM: entity.VM(name), AvailabilityZone: entry.AvailabilityZone, Region: entry.Region, Address: entry.PeerAddress,
+			StatusAddress: entry.StatusAddress,
 		}
 	}
 	p.mu.Unlock()
@@ -281,7 +291,7 @@
 	}
 	self := s.proxy.self()
 	key := vmPrefix + string(self.VM)
-	value, err := json.Marshal(proxyEntry{self.AvailabilityZone, self.Region, self.Address})
+	value, err := json.Marshal(proxyEntry{self.AvailabilityZone, self.Region, self.Address, self.StatusAddress})
 	if err != nil {
 		return err
 	}
