--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		c := placement.Candidate{
-			Name: m.spec.Name, Distance: m.distance, Running: m.running, Slots: m.spec.Slots,
+			Name: m.name, Distance: m.distance, Running: m.running, Slots: m.spec.Slots,
 			Primary: m == d.leader, Latency: m.latency, Connected: len(m.idle) > 0,
 		}
 		if best == nil || placement.Better(c, bestCandidate) {
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -86,7 +86,7 @@
 	at := now()
 	m, known := d.members[spec.Name]
 	if !known {
-		m = &member{spec: spec, distance: distance}
+		m = &member{name: spec.Name, spec: spec, distance: distance}
 		d.members[spec.Name] = m
 		if len(d.members) <= groupSize {
 			d.listedSince = at
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -105,7 +105,7 @@
 	if m == nil {
 		return "none"
 	}
-	return m.spec.Name
+	return m.name
 }
 
 func (e *events) leaderChanged(db entity.Database, from, to *member, term uint64, reason string) {
@@ -116,7 +116,7 @@
 
 func (e *events) leaderMissed(db entity.Database, m *member, misses int, err error) {
 	e.line("primary_missed").WithFields(logrus.Fields{
-		"database": db, "peer": m.spec.Name, "misses": misses,
+		"database": db, "peer": m.name, "misses": misses,
 	}).WithError(err).Warn("primary did not answer")
 }
 
--- a/internal/managed/inspect.go
+++ b/internal/managed/inspect.go
@@ -30,7 +30,7 @@
 	d.mu.Unlock()
 	deadline := now().Add(connectTimeout)
 	if err := p.open(deadline); err != nil {
-		d.proxy.events.memberFailed(d.name, m.spec.Name, "warm", err)
+		d.proxy.events.memberFailed(d.name, m.name, "warm", err)
 		return
 	}
 	if leads {
--- a/internal/managed/leader.go
+++ b/internal/managed/leader.go
@@ -119,13 +119,20 @@
 	if !s.doubtful.Load() {
 		return
 	}
-	if s.db.limits.SyncReplicas == 0 || !s.stalled(leader, first) {
+	if !s.db.replicatesSynchronously() || !s.stalled(leader, first) {
 		s.doubtful.Store(false)
 		return
 	}
 	s.takeOver(false, "primary does not replicate")
 }
 
+func (d *database) replicatesSynchronously() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limits.SyncReplicas > 0
+}
+
+// stalled reports whether replicas receive nothing although the primary has more.
 func (s *scout) stalled(leader *member, first Status) bool {
 	before, ok := s.furthestReplica(leader)
 	if !ok || !before.Less(first.Received) {
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -26,6 +26,8 @@
 
 // member is one upstream as this proxy uses it. The database's mutex guards it.
 type member struct {
+	// name never changes, so that it is read without the mutex.
+	name     entity.Upstream
 	spec     Member
 	distance int
 	idle     []*link
--- a/internal/managed/single.go
+++ b/internal/managed/single.go
@@ -155,7 +155,7 @@
 		return nil, refusedReply(refusal)
 	}
 	a.session.stages.tries++
-	a.session.stages.member = p.member.spec.Name
+	a.session.stages.member = p.member.name
 	a.session.stages.source = telemetry.SourceReplica
 	if p.leads {
 		a.session.stages.source = telemetry.SourcePrimary
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -139,7 +139,7 @@
 		Waited:   now().Sub(d.changedSince),
 	}
 	if d.leader != nil {
-		v.Leader = d.leader.spec.Name
+		v.Leader = d.leader.name
 	}
 	if d.leader != nil && !t.leaving {
 		v.Members = append(v.Members, takeover.Member{Name: v.Leader})
@@ -176,7 +176,7 @@
 		t.paused = map[entity.Upstream]*member{}
 	}
 	for _, m := range members {
-		t.paused[m.spec.Name] = m
+		t.paused[m.name] = m
 	}
 	for _, r := range t.scout.survey(Command{Kind: CommandPause, Term: decision.Term}, members) {
 		if r.err != nil {
@@ -276,8 +276,8 @@
 	defer c.end()
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
 	defer cancel()
-	err = d.proxy.options.Promoter.Promote(ctx, d.name, leader.spec.Name, d.proxy.options.Settings.VM, c.fence)
-	d.proxy.events.promoted(d.name, leader.spec.Name, c.fence, err)
+	err = d.proxy.options.Promoter.Promote(ctx, d.name, leader.name, d.proxy.options.Settings.VM, c.fence)
+	d.proxy.events.promoted(d.name, leader.name, c.fence, err)
 	if err != nil {
 		return
 	}
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -152,7 +152,7 @@
 	s := t.session
 	a := s.newAttempt(t.route, t.db, arrived, flood.LanePrimary)
 	defer since(&s.stages.run, now())
-	s.stages.member = t.link.member.spec.Name
+	s.stages.member = t.link.member.name
 	for {
 		s.stages.tries++
 		commands := append(t.link.prelude(&s.state, statement), s.state.command(statement, entity.Position{}))
