--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,13 @@
 capacity: build
 	$(BIN)/standin capacity
 
-# Long random runs of the property tests, not part of CI. SEED and CHECKS may be set.
+# Long random runs of the property tests and the fuzzer, not part of CI. SEED, SEEDS
+# and CHECKS may be set.
 SEED ?= 1
 CHECKS ?= 3000
+SEEDS ?= 50
 soak:
 	$(GO) test ./internal/model -run TestRandomFailures -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -timeout 60m
 	$(GO) test ./core/membership -run TestMainProperty -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -timeout 60m
+	$(GO) test ./internal/managed -run TestRandomFailures -random.seed=$(SEED) -random.seeds=$(SEEDS) -timeout 60m
+	$(GO) test ./platform -run XXX -fuzz FuzzCallerMessage -fuzztime 60s
