Give the metrics test one session for its writes and reads

Its readers have class browse, max_age 10 s, and no session, so a replica that is a few milliseconds behind may answer without the row that another caller just wrote; the document allows it.

--- a/internal/proxy/metrics_test.go
+++ b/internal/proxy/metrics_test.go
@@ -61,7 +61,10 @@
 	ctx := testContext(t)
 	const each = 5
 	for _, p := range f.proxies {
-		order, browse := f.connect(p, "class", "order"), f.connect(p, "class", "browse", "attempt", "2")
+		// One session: without it a read of class browse may miss writes of the last 10 s.
+		session := "metrics-" + p.name
+		order := f.connect(p, "class", "order", "session", session)
+		browse := f.connect(p, "class", "browse", "attempt", "2", "session", session)
 		for i := range each {
 			key := fmt.Sprint(p.name, i)
 			_, err := order.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('"+key+"', 'mask')")
