--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -39,8 +39,6 @@
 // History holds the recent proofs of one database.
 type History struct {
 	proofs []Proof
-	// highest is the highest position that was proven.
-	highest entity.Position
 }
 
 // Add notes a proof. One that was sent before the newest is dropped: the newest
@@ -53,13 +51,7 @@
 	for n > 0 && p.Position.Less(h.proofs[n-1].Position) {
 		n--
 	}
-	if n < len(h.proofs) {
-		h.proofs = h.proofs[:n]
-		h.highest = p.Position
-	}
-	if h.highest.Less(p.Position) {
-		h.highest = p.Position
-	}
+	h.proofs = h.proofs[:n]
 	if n > 1 && p.Sent.Sub(h.proofs[n-2].Sent) < minGap {
 		h.proofs[n-1] = p
 		return
@@ -90,9 +82,6 @@
 	return h.proofs[len(h.proofs)-1]
 }
 
-// Highest returns the highest position that was ever proven.
-func (h *History) Highest() entity.Position { return h.highest }
-
 // Merge returns the floor that covers both a proven one and the session's own
 // writes. A position of an earlier term than the proven one is dropped: what of
 // it survived the promotion is before the start of the newer term.
--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -37,7 +37,8 @@
 	floor, ok := h.Floor(at(50))
 	assert.Assert(t, ok)
 	assert.Equal(t, floor, pos(1, 9))
-	assert.Equal(t, h.Highest(), pos(1, 9))
+	_, ok = h.Floor(at(201))
+	assert.Assert(t, !ok)
 }
 
 // Guards against a session's position of an older term, which the newer primary's
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -22,7 +22,7 @@
 func addManaged(r *Registry) {
 	group := r.App.Command("managed", "The proxy daemon in front of databases whose leadership the platform arbitrates.")
 	run := group.Command("run", "Run the daemon.\n\nSIGTERM starts a drain within the grace period of the settings.").Default()
-	file := run.Flag("settings", "Settings file.").Envar("SKYLARKHINGE_NODE_FILE").Required().PlaceHolder("FILE").String()
+	file := run.Flag("settings", "Settings file.").Envar(platform.SettingsVariable).Required().PlaceHolder("FILE").String()
 	r.Add(run, func(ctx context.Context) error {
 		settings, err := readManagedSettings(r.Env, *file)
 		if err != nil {
