--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -116,7 +116,7 @@
 	case "aborted":
 		return "rolled back: the transaction's connection to " + request.Fields["peer"] + " failed" + change
 	case "read_only":
-		return "rolled back: " + request.Fields["peer"] + " lost the lead" + change
+		return "rolled back: " + request.Fields["peer"] + " is no longer the primary" + change
 	case "timeout":
 		return "no answer of " + request.Fields["peer"] + " within the statement's time; " + stages(request) + change
 	case "unknown_database":
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -149,9 +149,9 @@
 	d.proxy.events.memberMissing(d.name, name)
 }
 
-// adoptListed takes the member whose entry claims the lead for the primary. It is
-// safe to use before it is confirmed: whatever is done there proves the lead or is
-// refused. The mutex is held.
+// adoptListed takes the member whose entry says primary for the primary. It is safe
+// to use before it is confirmed: a member that is not the primary refuses writes,
+// plain transactions and proofs. The mutex is held.
 func (d *database) adoptListed() {
 	var claimant *member
 	for _, m := range d.members {
--- a/internal/managed/doc.go
+++ b/internal/managed/doc.go
@@ -1,5 +1,5 @@
 // Package managed is the daemon in front of databases whose leadership the
-// platform arbitrates: a primary that was replaced loses the lead at that
+// platform arbitrates: a primary that was replaced stops being one at that
 // moment, whatever it can reach. Every proxy therefore reaches the upstreams
 // itself, without an owner per database, and proves only what the arbiter
 // leaves open:
--- a/internal/managed/scout.go
+++ b/internal/managed/scout.go
@@ -53,7 +53,7 @@
 	db       *database
 	wakeup   chan struct{}
 	doubtful atomic.Bool
-	// claimant is a member whose entry claims the lead.
+	// claimant is a member whose entry says that it is the primary.
 	claimant atomic.Pointer[member]
 	// misses counts failed status calls in a row, silent those without any answer.
 	misses, silent  int
