Let the daemon's tests speak through the adapter

The tests had a line client, configurations and entries of their own. They now use platform.Lines, the client that proxies use among each other, and platform/standin writes configurations and entries.

--- a/internal/managed/explain_test.go
+++ b/internal/managed/explain_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkhinge.dev/skylarkhinge/internal/explain"
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 )
 
 // walk follows docs/OPERATIONS.md from a request's id to its cause, over the logs
@@ -59,7 +60,7 @@
 		c := f.nodes[0].open(t, strictDB)
 		wait.Go(func() {
 			for range 3 {
-				if r := c.query("READ item"); r.code == "BUSY" {
+				if r := c.query("READ item"); r.code == managed.CodeBusy {
 					mu.Lock()
 					refused = r.id
 					mu.Unlock()
@@ -82,7 +83,7 @@
 	old := f.group.Leader()
 	old.SetSilent(true)
 	r := c.query("WRITE item two")
-	assert.Equal(t, r.code, "INDOUBT")
+	assert.Equal(t, r.code, managed.CodeInDoubt)
 	f.awaitNewLeader(old)
 	c.eventually(3*time.Second, "WRITE item three")
 	w := f.walk(r.id)
@@ -115,7 +116,7 @@
 		wait.Go(func() {
 			for range 4 {
 				r := c.query("READ item")
-				if r.code == "" {
+				if r.code == managed.CodeNone {
 					continue
 				}
 				w := f.walk(r.id)
--- a/internal/managed/handover_test.go
+++ b/internal/managed/handover_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 )
 
 // scarce is a limit of connections with which few of six proxies are gateways.
@@ -51,7 +53,7 @@
 			assert.DeepEqual(t, c.ok("READ item").rows, []string{"v" + string(rune('a'+i))})
 		}
 		c.ok("BEGIN")
-		assert.Equal(t, c.ok("WRITE other x").state, "T -")
+		assert.Equal(t, c.ok("WRITE other x").state, managed.StateOpen)
 		c.ok("COMMIT")
 		for _, run := range f.runsOf(c) {
 			assert.Equal(t, run.Settings, "tenant=mask")
@@ -82,9 +84,8 @@
 			n.stop()
 		}
 	}
-	assert.Equal(t, forwarded.query("WRITE item y").code, "ABORTED")
-	_, err := forwarded.reader.ReadByte()
-	assert.ErrorContains(t, err, "EOF")
+	assert.Equal(t, forwarded.query("WRITE item y").code, managed.CodeAborted)
+	forwarded.closed()
 	again := f.nodes[from].open(t, strictDB)
 	assert.DeepEqual(t, again.eventually(3*time.Second, "READ item").rows, []string{"none"})
 }
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -1,16 +1,15 @@
 package managed_test
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkhinge.dev/skylarkhinge/config"
+	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/internal/managed"
 	"skylarkhinge.dev/skylarkhinge/platform"
 	"skylarkhinge.dev/skylarkhinge/platform/standin"
@@ -60,7 +60,7 @@
 	version int
 	// connections is the limit of one upstream, as the configuration tells it.
 	connections int
-	routes      []map[string]any
+	routes      []standin.Route
 	nodes       []*node
 }
 
@@ -88,10 +88,10 @@
 	group, err := standin.NewGroup("shop", "zone-0", "zone-1", "zone-2")
 	assert.NilError(t, err)
 	f := &fleet{t: t, group: group, store: standin.NewStore(group), connections: 34}
-	f.routes = []map[string]any{
-		route(strictDB, "primary", 0, 500),
-		route(boundedDB, "bounded_staleness", 2, 1000),
-		route(sessionDB, "read_your_writes", 1, 1000),
+	f.routes = []standin.Route{
+		route(strictDB, managed.StrictConsistency, 0, 500*time.Millisecond),
+		route(boundedDB, managed.BoundedStaleness, 2, time.Second),
+		route(sessionDB, managed.SessionConsistency, 1, time.Second),
 	}
 	f.configure()
 	for i := range proxies {
@@ -101,23 +101,15 @@
 	return f
 }
 
-func route(host, kind string, priority, target int) map[string]any {
-	return map[string]any{
-		"name": "r-" + host, "host": host, "prefix": "/", "kind": kind, "timeout_ms": 1000,
-		"target_latency_ms": target, "priority": priority, "service": "shop", "max_attempts": 2, "max_staleness_ms": 1000,
-	}
+// route describes a route with the given consistency.
+func route(name string, consistency managed.Consistency, rank int, target time.Duration) standin.Route {
+	return standin.Route{Name: name, Consistency: consistency, Rank: rank, Target: target}
 }
 
 // configure writes the routes as the next version.
 func (f *fleet) configure() {
 	f.version += 3
-	text, err := json.Marshal(map[string]any{
-		"version": f.version, "routes": f.routes,
-		"services": []any{map[string]any{"name": "shop", "max_connections": f.connections, "sync_replicas": 1}},
-		"limits":   map[string]any{"tx_idle_ms": 3000},
-	})
-	assert.NilError(f.t, err)
-	f.store.Put("op/config", text)
+	assert.NilError(f.t, f.store.Configure(f.version, f.group.Name, f.connections, f.routes))
 }
 
 func (f *fleet) start(i int) *node {
@@ -175,86 +167,84 @@
 	f.group.Close()
 }
 
-// caller is a test's connection to a proxy.
+// caller is a test's session at a proxy, over the adapter's own client.
 type caller struct {
-	t      testing.TB
-	conn   net.Conn
-	reader *bufio.Reader
-	ids    int
-	name   string
+	t    testing.TB
+	conn managed.Upstream
+	ids  int
+	name string
 }
 
-func (n *node) connect(t testing.TB, database string) *caller {
+// callers numbers the sessions of all tests.
+var callers atomic.Int64
+
+// callerTime bounds the waits of a session's caller.
+const callerTime = 20 * time.Second
+
+// connect opens a session. refused is the proxy's refusal, nil if it accepted.
+func (n *node) connect(t testing.TB, database string) (c *caller, refused *managed.Refused) {
 	t.Helper()
-	conn, err := net.Dial("tcp4", n.address)
+	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
+	defer cancel()
+	conn, err := platform.Lines{VM: "u1"}.Dial(ctx, managed.Member{Database: entity.Database(database), Address: n.address})
+	if errors.As(err, &refused) {
+		return nil, refused
+	}
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	c := &caller{t: t, conn: conn, reader: bufio.NewReader(conn), name: conn.LocalAddr().String()}
-	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
-	c.send("START " + database + " u1")
-	return c
+	return &caller{t: t, conn: conn, name: fmt.Sprintf("c%d", callers.Add(1))}, nil
+}
+
+// accepts reports whether the proxy accepts a session for a database.
+func (n *node) accepts(t testing.TB, database string) bool {
+	t.Helper()
+	_, refused := n.connect(t, database)
+	return refused == nil
 }
 
 // open connects and expects the session to be accepted.
 func (n *node) open(t testing.TB, database string) *caller {
 	t.Helper()
-	c := n.connect(t, database)
-	assert.Equal(t, c.line(), "READY I -")
+	c, refused := n.connect(t, database)
+	if refused != nil {
+		t.Fatalf("session for %s: %v", database, refused)
+	}
 	return c
 }
 
-func (c *caller) send(line string) {
-	_, err := io.WriteString(c.conn, line+"\r\n")
-	assert.NilError(c.t, err)
-}
-
-func (c *caller) line() string {
-	c.t.Helper()
-	line, err := c.reader.ReadString('\n')
-	assert.NilError(c.t, err)
-	return strings.TrimSuffix(line, "\r\n")
-}
-
 // result is the answer to one statement.
 type result struct {
 	id    string
 	rows  []string
-	code  string
+	code  managed.Code
 	text  string
 	sign  string
-	state string
+	state managed.TransactionState
 }
 
-func (c *caller) nextID() string {
+func (c *caller) query(text string) result {
+	c.t.Helper()
 	c.ids++
-	return fmt.Sprintf("%s-%d", strings.ReplaceAll(c.name, ":", "-"), c.ids)
+	id := fmt.Sprintf("%s-%d", c.name, c.ids)
+	assert.NilError(c.t, c.conn.Send(time.Now().Add(callerTime), managed.Command{Kind: managed.CommandStatement, ID: id, Text: text}))
+	reply, err := c.conn.Receive(time.Now().Add(callerTime))
+	assert.NilError(c.t, err)
+	return result{id: id, rows: reply.Rows, code: reply.Code, text: reply.Text, sign: reply.Signature, state: reply.State}
 }
 
-func (c *caller) query(text string) result {
+// closed waits for the proxy to end the session and returns the code it gave.
+func (c *caller) closed() managed.Code {
 	c.t.Helper()
-	r := result{id: c.nextID()}
-	c.send("QUERY " + r.id + " " + text)
-	for {
-		word, rest, _ := strings.Cut(c.line(), " ")
-		switch word {
-		case "DATAROW":
-			r.rows = append(r.rows, rest)
-		case "COMPLETE":
-			r.sign = rest
-		case "ERROR":
-			r.code, r.text, _ = strings.Cut(rest, " ")
-		case "READY":
-			r.state = rest
-			return r
-		}
-	}
+	reply, err := c.conn.Receive(time.Now().Add(callerTime))
+	assert.ErrorContains(c.t, err, "EOF")
+	return reply.Code
 }
 
 // ok runs a statement that has to succeed.
 func (c *caller) ok(text string) result {
 	c.t.Helper()
 	r := c.query(text)
-	assert.Equal(c.t, r.code, "", "%s: %s", text, r.text)
+	assert.Equal(c.t, r.code, managed.CodeNone, "%s: %s", text, r.text)
 	return r
 }
 
@@ -264,8 +254,8 @@
 	end := time.Now().Add(limit)
 	for {
 		r := c.query(text)
-		if r.code == "" || time.Now().After(end) {
-			assert.Equal(c.t, r.code, "", "%s: %s", text, r.text)
+		if r.code == managed.CodeNone || time.Now().After(end) {
+			assert.Equal(c.t, r.code, managed.CodeNone, "%s: %s", text, r.text)
 			return r
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -283,7 +273,7 @@
 func (f *fleet) runsOf(c *caller) []standin.Run {
 	var runs []standin.Run
 	for _, r := range f.group.Runs() {
-		if strings.HasPrefix(r.ID, strings.ReplaceAll(c.name, ":", "-")+"-") {
+		if strings.HasPrefix(r.ID, c.name+"-") {
 			runs = append(runs, r)
 		}
 	}
--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 	"skylarkhinge.dev/skylarkhinge/platform/standin"
 )
 
@@ -52,7 +53,8 @@
 
 // outcome is how a write ended for its caller.
 type outcome struct {
-	id, code string
+	id   string
+	code managed.Code
 }
 
 // randomWorld is a fleet under random faults with callers that check what they get.
@@ -70,7 +72,10 @@
 }
 
 // promises are the codes that promise that nothing was kept.
-var promises = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "CONNLIMIT": true}
+var promises = map[managed.Code]bool{
+	managed.CodeBusy: true, managed.CodeAborted: true, managed.CodeLagging: true, managed.CodeReadOnly: true,
+	managed.CodeMisrouted: true, managed.CodeConnectionLimit: true,
+}
 
 func (w *randomWorld) note(r result) {
 	w.mu.Lock()
@@ -83,6 +88,9 @@
 func (w *randomWorld) write(state *writerState, n *node, database string, transactions bool) {
 	defer w.wait.Done()
 	c := w.join(n, database)
+	if c == nil {
+		return
+	}
 	for time.Now().Before(w.stop) {
 		value := state.sent.Add(1)
 		text := fmt.Sprintf("WRITE %s %d", state.item, value)
@@ -93,7 +101,7 @@
 			r = c.query(text)
 			w.note(r)
 		}
-		if r.code == "" {
+		if r.code == managed.CodeNone {
 			w.served.Add(1)
 			state.mu.Lock()
 			state.acked.Store(value)
@@ -105,17 +113,17 @@
 	}
 }
 
-// join opens a session. Without a configuration a proxy refuses it for now.
+// join opens a session, nil if that fails. Without a configuration a proxy refuses
+// it for now.
 func (w *randomWorld) join(n *node, database string) *caller {
 	for {
-		c := n.connect(w.t, database)
-		line := c.line()
-		if line == "READY I -" {
+		c, refused := n.connect(w.t, database)
+		if refused == nil {
 			return c
 		}
-		if !strings.HasPrefix(line, "ERROR BUSY") || time.Now().After(w.stop) {
-			w.t.Errorf("session for %s: %s", database, line)
-			return c
+		if refused.Code != managed.CodeBusy || time.Now().After(w.stop) {
+			w.t.Errorf("session for %s: %v", database, refused)
+			return nil
 		}
 	}
 }
@@ -123,7 +131,7 @@
 func (w *randomWorld) writeInTransaction(c *caller, text string) result {
 	c.query("BEGIN")
 	r := c.query(text)
-	if r.code != "" {
+	if r.code != managed.CodeNone {
 		// The transaction's end is what counts; it rolls back.
 		c.query("ROLLBACK")
 		return r
@@ -136,7 +144,7 @@
 	if database != sessionDB {
 		return
 	}
-	if r := c.query("READ " + state.item); r.code == "" && valueOf(r) < value {
+	if r := c.query("READ " + state.item); r.code == managed.CodeNone && valueOf(r) < value {
 		w.t.Errorf("session of %s reads %d after writing %d (%s)", state.item, valueOf(r), value, r.id)
 	}
 }
@@ -157,11 +165,14 @@
 	defer w.wait.Done()
 	random := rand.New(rand.NewPCG(seed, 1))
 	c := w.join(n, database)
+	if c == nil {
+		return
+	}
 	for time.Now().Before(w.stop) {
 		state := w.writers[random.IntN(len(w.writers))]
 		must := state.ackedBefore(time.Now().Add(-age))
 		r := c.query("READ " + state.item)
-		if r.code == "" {
+		if r.code == managed.CodeNone {
 			w.served.Add(1)
 			if got := valueOf(r); got < must {
 				w.t.Errorf("%s reader reads %s=%d, acknowledged %v ago was %d (%s)", database, state.item, got, age, must, r.id)
--- a/internal/managed/rebalance_test.go
+++ b/internal/managed/rebalance_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 )
 
 // Plays the load that the move of a primary answers: reads of several callers that
@@ -28,7 +30,7 @@
 		c := f.nodes[i%3].open(t, boundedDB)
 		wait.Go(func() {
 			for time.Now().Before(stop) {
-				if c.query("READ item").code == "" {
+				if c.query("READ item").code == managed.CodeNone {
 					served.Add(1)
 				} else {
 					refused.Add(1)
--- a/internal/managed/session_test.go
+++ b/internal/managed/session_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 )
 
 // Guards against writes that their own session does not see on a replica.
@@ -116,7 +118,7 @@
 	f := newFleet(t, 1)
 	a, b := f.nodes[0].open(t, strictDB), f.nodes[0].open(t, strictDB)
 	a.ok("BEGIN")
-	assert.Equal(t, a.ok("WRITE item a").state, "T -")
+	assert.Equal(t, a.ok("WRITE item a").state, managed.StateOpen)
 	b.ok("BEGIN")
 	b.ok("WRITE other b")
 	assert.DeepEqual(t, b.ok("READ item").rows, []string{"none"})
@@ -145,10 +147,10 @@
 	c.ok("WRITE item x")
 	f.group.Leader().DropAnswers(1)
 	r := c.query("WRITE item y")
-	assert.Equal(t, r.code, "ABORTED")
-	assert.Equal(t, r.state, "E -")
-	assert.Equal(t, c.query("READ item").code, "MALFORMED")
-	assert.Equal(t, c.query("COMMIT").code, "ABORTED")
+	assert.Equal(t, r.code, managed.CodeAborted)
+	assert.Equal(t, r.state, managed.StateFailed)
+	assert.Equal(t, c.query("READ item").code, managed.CodeMalformed)
+	assert.Equal(t, c.query("COMMIT").code, managed.CodeAborted)
 	assert.DeepEqual(t, c.eventually(2*time.Second, "READ item").rows, []string{"none"})
 }
 
@@ -160,7 +162,7 @@
 	c.ok("READ item")
 	f.group.Leader().DropAnswers(1)
 	r := c.query("WRITE item x")
-	assert.Equal(t, r.code, "INDOUBT")
+	assert.Equal(t, r.code, managed.CodeInDoubt)
 	runs := 0
 	for _, run := range f.group.Runs() {
 		if run.ID == r.id {
@@ -184,12 +186,11 @@
 	f := newFleet(t, 1)
 	other := f.nodes[0].open(t, strictDB)
 	c := f.nodes[0].open(t, strictDB)
-	assert.Equal(t, c.query("FROBNICATE x").code, "MALFORMED")
+	assert.Equal(t, c.query("FROBNICATE x").code, managed.CodeMalformed)
 	c.ok("READ item")
-	c.send("NONSENSE")
-	assert.Assert(t, strings.HasPrefix(c.line(), "ERROR MALFORMED"))
-	_, err := c.reader.ReadByte()
-	assert.ErrorContains(t, err, "EOF")
+	// The second line is no message at all.
+	assert.Equal(t, c.query("FROBNICATE y\r\nNONSENSE").code, managed.CodeMalformed)
+	assert.Equal(t, c.closed(), managed.CodeMalformed)
 	other.ok("READ item")
 }
 
@@ -197,8 +198,9 @@
 func TestUnknownDatabase(t *testing.T) {
 	f := newFleet(t, 1)
 	f.nodes[0].open(t, strictDB)
-	c := f.nodes[0].connect(t, "absent")
-	assert.Assert(t, strings.HasPrefix(c.line(), "ERROR NODB"))
+	_, refused := f.nodes[0].connect(t, "absent")
+	assert.Assert(t, refused != nil)
+	assert.Equal(t, refused.Code, managed.CodeUnknownDatabase)
 }
 
 // Guards against a configuration that takes force late or goes back.
@@ -208,8 +210,8 @@
 	c.ok("READ item")
 	f.routes = f.routes[:1]
 	f.configure()
-	waitFor(t, time.Second, "route is dropped", func() bool { return c.query("READ item").code == "NODB" })
-	f.store.Put("op/config", []byte(`{"version":1,"routes":[],"services":[],"limits":{}}`))
+	waitFor(t, time.Second, "route is dropped", func() bool { return c.query("READ item").code == managed.CodeUnknownDatabase })
+	assert.NilError(t, f.store.Configure(1, f.group.Name, f.connections, nil))
 	time.Sleep(100 * time.Millisecond)
 	f.nodes[1].open(t, strictDB).ok("READ item")
 }
@@ -220,23 +222,17 @@
 	f.nodes[0].open(t, strictDB)
 	f.store.SetFault(2)
 	time.Sleep(50 * time.Millisecond)
-	f.routes = append(f.routes, route("late", "primary", 0, 500))
+	f.routes = append(f.routes, route("late", managed.StrictConsistency, 0, time.Second))
 	f.configure()
 	f.store.Compact()
 	f.store.SetFault(0)
-	waitFor(t, 5*time.Second, "new route", func() bool {
-		c := f.nodes[0].connect(t, "late")
-		return c.line() == "READY I -"
-	})
+	waitFor(t, 5*time.Second, "new route", func() bool { return f.nodes[0].accepts(t, "late") })
 }
 
-// Guards against entries that another writer left under servers/.
+// Guards against entries that another writer left among those of the upstreams.
 func TestUnreadableMemberEntries(t *testing.T) {
 	f := newFleet(t, 1)
-	f.store.Put("servers/junk-1", []byte{0xff, 0x00})
-	f.store.Put("servers/junk-2", []byte(`{"service":7,"address":"x"}`))
-	f.store.Put("servers/junk-3", []byte(`{"service":"absent","address":"127.0.0.1:1","state":"ready","db_role":"primary"}`))
-	f.store.Put("servers/junk-4", []byte(`{"service":"shop","address":"127.0.0.1:1","state":"odd","db_role":"primary"}`))
+	f.store.PutForeignEntries(f.group.Name)
 	c := f.nodes[0].open(t, strictDB)
 	for range 5 {
 		c.ok("READ item")
@@ -248,9 +244,11 @@
 	f := newFleet(t, 0)
 	f.store.SetFault(2)
 	n := f.start(0)
-	assert.Equal(t, n.connect(t, strictDB).line(), "ERROR BUSY no configuration yet")
+	_, refused := n.connect(t, strictDB)
+	assert.Assert(t, refused != nil)
+	assert.DeepEqual(t, *refused, managed.Refused{Code: managed.CodeBusy, Text: "no configuration yet"})
 	f.store.SetFault(0)
-	waitFor(t, 5*time.Second, "a session", func() bool { return n.connect(t, strictDB).line() == "READY I -" })
+	waitFor(t, 5*time.Second, "a session", func() bool { return n.accepts(t, strictDB) })
 }
 
 // Guards against a read that waits for its whole time for an answer that was lost
@@ -276,8 +274,8 @@
 		return len(f.nodes[2].log.find("event=proxies_changed", "proxies=3")) > 0
 	})
 	f.store.TurnAway("vm-2")
-	f.routes = append(f.routes, route("late", "primary", 0, 500))
+	f.routes = append(f.routes, route("late", managed.StrictConsistency, 0, time.Second))
 	f.configure()
-	waitFor(t, 8*time.Second, "the new route", func() bool { return f.nodes[2].connect(t, "late").line() == "READY I -" })
+	waitFor(t, 8*time.Second, "the new route", func() bool { return f.nodes[2].accepts(t, "late") })
 	assert.Assert(t, len(f.nodes[2].log.find("event=document_relayed")) > 0)
 }
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 	"skylarkhinge.dev/skylarkhinge/platform/standin"
 )
 
@@ -63,7 +64,7 @@
 	c.ok("WRITE item kept")
 	old := f.group.Leader()
 	old.SetDeaf(true)
-	assert.Equal(t, c.query("WRITE item hangs").code, "INDOUBT")
+	assert.Equal(t, c.query("WRITE item hangs").code, managed.CodeInDoubt)
 	f.awaitNewLeader(old)
 	assert.DeepEqual(t, c.eventually(3*time.Second, "READ item").rows, []string{"kept"})
 	assert.Equal(t, len(f.group.Lost()), 0)
@@ -78,7 +79,7 @@
 	end := time.Now().Add(failoverLimit)
 	longest, last := time.Duration(0), time.Now()
 	for f.group.Leader() == old && time.Now().Before(end) || time.Since(last) > 0 && longest == 0 {
-		if c.query("WRITE item v").code == "" {
+		if c.query("WRITE item v").code == managed.CodeNone {
 			longest = max(longest, time.Since(last))
 			last = time.Now()
 		}
@@ -212,7 +213,7 @@
 	f.store.SetFault(standin.StoreRefuses)
 	time.Sleep(6500 * time.Millisecond)
 	before := len(f.group.Runs())
-	assert.Equal(t, c.query("READ item").code, "BUSY")
+	assert.Equal(t, c.query("READ item").code, managed.CodeBusy)
 	assert.Equal(t, len(f.group.Runs()), before)
 }
 
@@ -224,7 +225,7 @@
 	f.group.Member(0).SetListed(false)
 	f.group.Member(2).SetListed(false)
 	for i := range 3 {
-		f.store.Remove("servers/" + f.group.Member(i).ID)
+		f.store.RemoveEntry(f.group.Member(i).ID)
 	}
 	f.nodes = append(f.nodes, f.start(0))
 	waitFor(t, 5*time.Second, "the only entry", func() bool { return len(f.nodes[0].log.find("event=upstream_listed")) > 0 })
