Remove state that decided nothing; plain names for the monitor and for pauses

Silent and refused failures of the primary had separate counters and one limit; a member kept when it had failed and whether silently, and nobody read it. The claim of a takeover stood twice. The scout is a monitor now, the held term a pause term. No change of behaviour.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -30,9 +30,9 @@
 	// Reached is set if the member answered in this survey.
 	Reached bool
 	Primary bool
-	// Term is the newest term that the member knows, HeldTerm the one for which
+	// Term is the newest term that the member knows, PauseTerm the one for which
 	// it is paused; 0 means that it receives.
-	Term, HeldTerm uint64
+	Term, PauseTerm uint64
 	// Received is the end of the log that the member holds.
 	Received entity.Position
 	// Leaving members shut down soon, and their log goes with them.
@@ -95,7 +95,7 @@
 		if m.Reached && m.Primary && m.Term > v.Term {
 			return Decision{Step: StepDone, Target: m.Name, Reason: "a newer primary leads"}
 		}
-		newest = max(newest, m.Term, m.HeldTerm)
+		newest = max(newest, m.Term, m.PauseTerm)
 	}
 	replicas := replicasOf(&v)
 	if len(replicas) == 0 {
@@ -137,7 +137,7 @@
 		if m == target {
 			continue
 		}
-		if m.HeldTerm == 0 {
+		if m.PauseTerm == 0 {
 			pause = append(pause, m.Name)
 		}
 		if furthest.Less(m.Received) {
@@ -169,8 +169,8 @@
 }
 
 func preferred(a, b *Member) bool {
-	if (a.HeldTerm == 0) != (b.HeldTerm == 0) {
-		return a.HeldTerm == 0
+	if (a.PauseTerm == 0) != (b.PauseTerm == 0) {
+		return a.PauseTerm == 0
 	}
 	if a.Received != b.Received {
 		return b.Received.Less(a.Received)
@@ -183,7 +183,7 @@
 	var pause []entity.Upstream
 	var target *Member
 	for _, m := range replicas {
-		if m.HeldTerm == 0 {
+		if m.PauseTerm == 0 {
 			pause = append(pause, m.Name)
 		}
 		if target == nil || further(m, target) {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -13,7 +13,7 @@
 func pos(term, offset uint64) entity.Position { return entity.Position{Term: term, Offset: offset} }
 
 func replica(name string, offset, held uint64) Member {
-	return Member{Name: entity.Upstream(name), Reached: true, Term: 1, Received: pos(1, offset), HeldTerm: held}
+	return Member{Name: entity.Upstream(name), Reached: true, Term: 1, Received: pos(1, offset), PauseTerm: held}
 }
 
 func lost(members ...Member) View {
@@ -86,7 +86,7 @@
 	for i := range 3 {
 		m := Member{Name: entity.Upstream(fmt.Sprintf("m%d", i)), Term: s.term}
 		if !s.down[i] && rapid.IntRange(0, 9).Draw(t, "lost answer") > 0 {
-			m.Reached, m.Primary, m.HeldTerm = true, i == s.primary, s.held[i]
+			m.Reached, m.Primary, m.PauseTerm = true, i == s.primary, s.held[i]
 			m.Received = pos(1, s.received[i])
 		}
 		v.LeaderHealthy = v.LeaderHealthy || i == 0 && leaving && m.Reached
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -179,9 +179,9 @@
 	Term    uint64
 	// Received is the end of the log that the upstream holds.
 	Received entity.Position
-	// HeldTerm is the term for which the upstream paused; 0 means that it receives.
-	HeldTerm uint64
-	Lag      time.Duration
+	// PauseTerm is the term for which the upstream paused; 0 means that it receives.
+	PauseTerm uint64
+	Lag       time.Duration
 	// Busy and Connections are the slots and connections in use by everyone.
 	Busy, Connections int
 }
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -133,8 +133,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.claim.revision != 0 && record.revision == 0 {
-		d.scout.checkHeldLater()
+		d.monitor.checkPausesLater()
 	}
 	d.claim = record
-	d.scout.wake()
+	d.monitor.wake()
 }
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -52,8 +52,8 @@
 	// lastRead is the last arrival of a read that needs a floor.
 	lastRead entity.Time
 	// claim is the takeover that the store shows, zero if there is none.
-	claim claimRecord
-	scout *scout
+	claim   claimRecord
+	monitor *monitor
 }
 
 // waiter is a request that waits for its permit.
@@ -92,7 +92,7 @@
 	}
 	d.scheduler = flood.New(flood.Policy{}, uint64(now()))
 	d.timer = time.AfterFunc(time.Hour, d.expire)
-	d.scout = newScout(d)
+	d.monitor = newMonitor(d)
 	return d
 }
 
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -1,6 +1,8 @@
 package managed
 
 import (
+	"errors"
+
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/placement"
 )
@@ -21,13 +23,7 @@
 	d.putMember(spec, p.distance(spec.AvailabilityZone))
 }
 
-var errUnknownDatabase = errorText("database is not in the configuration")
-
-// errorText is a constant error.
-type errorText string
-
-// Error returns the text.
-func (e errorText) Error() string { return string(e) }
+var errUnknownDatabase = errors.New("database is not in the configuration")
 
 func (p *Proxy) distance(zone string) int {
 	s := p.options.Settings
@@ -127,10 +123,10 @@
 	if d.leader == nil {
 		d.adoptListed()
 	} else if claimsLead {
-		d.scout.leadClaimed(m)
+		d.monitor.leadClaimed(m)
 	}
 	if changed {
-		d.scout.wake()
+		d.monitor.wake()
 	}
 	d.dispatch(at)
 	d.arm(at)
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -218,7 +218,6 @@
 	rows  []string
 	code  managed.Code
 	text  string
-	sign  string
 	state managed.TransactionState
 }
 
@@ -229,7 +228,7 @@
 	assert.NilError(c.t, c.conn.Send(time.Now().Add(callerTime), managed.Command{Kind: managed.CommandStatement, ID: id, Text: text}))
 	reply, err := c.conn.Receive(time.Now().Add(callerTime))
 	assert.NilError(c.t, err)
-	return result{id: id, rows: reply.Rows, code: reply.Code, text: reply.Text, sign: reply.Signature, state: reply.State}
+	return result{id: id, rows: reply.Rows, code: reply.Code, text: reply.Text, state: reply.State}
 }
 
 // closed waits for the proxy to end the session and returns the code it gave.
--- a/internal/managed/inspect.go
+++ b/internal/managed/inspect.go
@@ -9,7 +9,7 @@
 
 // warm opens one connection to each member and proves the primary, so that the
 // first callers after a restart do not wait for both.
-func (s *scout) warm(leader *member) {
+func (s *monitor) warm(leader *member) {
 	d := s.db
 	var wait sync.WaitGroup
 	for _, m := range d.all() {
@@ -18,7 +18,7 @@
 	wait.Wait()
 }
 
-func (s *scout) warmMember(m *member, leads bool) {
+func (s *monitor) warmMember(m *member, leads bool) {
 	d := s.db
 	d.mu.Lock()
 	if m.open > 0 || m.leavingSince != 0 {
@@ -44,7 +44,7 @@
 
 // inspect looks after a database that is at rest: a primary that nobody uses may
 // be down, and a proxy that died in a takeover may have left replicas paused.
-func (s *scout) inspect(at entity.Time, leader *member) {
+func (s *monitor) inspect(at entity.Time, leader *member) {
 	place := s.db.inspectionPlace()
 	if place < 0 {
 		return
@@ -53,14 +53,14 @@
 		s.nextInspection = at.Add(inspectionInterval)
 		s.inspectLeader(at, leader)
 	}
-	if due := entity.Time(s.heldCheckAt.Load()); place < heldInspectors && due != 0 && at >= due {
-		s.heldCheckAt.Store(0)
+	if due := entity.Time(s.pauseCheckAt.Load()); place < pauseInspectors && due != 0 && at >= due {
+		s.pauseCheckAt.Store(0)
 		s.inspectReplicas(leader)
 	}
 }
 
 // inspectLeader proves the primary unless traffic has done so lately.
-func (s *scout) inspectLeader(at entity.Time, leader *member) {
+func (s *monitor) inspectLeader(at entity.Time, leader *member) {
 	d := s.db
 	d.mu.Lock()
 	proven := at.Sub(d.history.Newest().Sent) < inspectionInterval
@@ -79,7 +79,7 @@
 }
 
 // inspectReplicas lifts pauses that no takeover needs any more.
-func (s *scout) inspectReplicas(leader *member) {
+func (s *monitor) inspectReplicas(leader *member) {
 	d := s.db
 	d.mu.Lock()
 	claimed := d.claim.revision != 0
@@ -89,7 +89,7 @@
 	}
 	var held []*member
 	for _, r := range s.survey(Command{Kind: CommandStatus}, d.all()) {
-		if r.member != leader && r.err == nil && r.status.HeldTerm != 0 {
+		if r.member != leader && r.err == nil && r.status.PauseTerm != 0 {
 			held = append(held, r.member)
 		}
 	}
@@ -99,7 +99,7 @@
 }
 
 // renewProof proves the primary over an idle connection if reads need it.
-func (s *scout) renewProof(at entity.Time) {
+func (s *monitor) renewProof(at entity.Time) {
 	d := s.db
 	d.mu.Lock()
 	due := at.Sub(d.lastRead) < readsRecent && d.lastRead != 0 && at.Sub(d.history.Newest().Sent) > proofAge
@@ -115,7 +115,7 @@
 }
 
 // proveOver proves the primary over an idle connection and gives it back.
-func (s *scout) proveOver(l *link) {
+func (s *monitor) proveOver(l *link) {
 	d := s.db
 	_, err := d.prove(l, time.Now().Add(probeTimeout))
 	d.mu.Lock()
@@ -125,5 +125,5 @@
 		return
 	}
 	d.dropLocked(l)
-	d.noteFailure(l.member, now(), err)
+	d.noteFailure(l.member, now())
 }
--- a/internal/managed/leader.go
+++ b/internal/managed/leader.go
@@ -6,22 +6,22 @@
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 )
 
-// leadClaimed notes that a member's entry says that it leads now. The scout asks
+// leadClaimed notes that a member's entry says that it leads now. The monitor asks
 // it, since entries may be out of date.
-func (s *scout) leadClaimed(m *member) {
+func (s *monitor) leadClaimed(m *member) {
 	s.claimant.Store(m)
 	s.wake()
 }
 
 // checkClaimant asks a member that claims to lead.
-func (s *scout) checkClaimant() {
+func (s *monitor) checkClaimant() {
 	if m := s.claimant.Swap(nil); m != nil {
 		s.adopt(s.survey(Command{Kind: CommandStatus}, []*member{m}))
 	}
 }
 
 // findLeader looks for the member that leads the newest term.
-func (s *scout) findLeader(at entity.Time) {
+func (s *monitor) findLeader(at entity.Time) {
 	if s.leaderlessSince == 0 {
 		s.leaderlessSince = at
 	}
@@ -44,7 +44,7 @@
 }
 
 // adopt makes the member with the newest term that leads the believed primary.
-func (s *scout) adopt(reports []report) bool {
+func (s *monitor) adopt(reports []report) bool {
 	var best *report
 	for i := range reports {
 		r := &reports[i]
@@ -61,19 +61,19 @@
 	if best.status.Term < d.leaderTerm {
 		return false
 	}
-	s.misses, s.silent = 0, 0
+	s.misses = 0
 	s.doubtful.Store(false)
 	d.setLeader(best.member, best.status.Term, "survey")
 	return true
 }
 
 // checkLeader asks the believed primary, and the others if it does not answer.
-func (s *scout) checkLeader(leader *member) {
+func (s *monitor) checkLeader(leader *member) {
 	began := now()
 	reports := s.survey(Command{Kind: CommandStatus}, []*member{leader})
 	r := reports[0]
 	if r.err == nil && r.status.Primary {
-		s.misses, s.silent = 0, 0
+		s.misses = 0
 		s.leaderWell(leader, r.status)
 		return
 	}
@@ -91,18 +91,11 @@
 		return
 	}
 	s.misses++
-	if isTimeout(r.err) {
-		s.silent++
-	}
 	s.db.proxy.events.leaderMissed(s.db.name, leader, s.misses, r.err)
 	if s.db.failuresOf(leader) >= requestFailures {
-		s.misses = max(s.misses, silentMisses)
-	}
-	limit := refusedMisses
-	if s.silent > 0 {
-		limit = silentMisses
+		s.misses = max(s.misses, maxMisses)
 	}
-	if s.misses < limit {
+	if s.misses < maxMisses {
 		return
 	}
 	// Another proxy may have promoted already; without the store nothing else
@@ -115,7 +108,7 @@
 
 // leaderWell ends the doubt about a primary that answers, unless its replicas
 // receive nothing of what it holds: then it cannot acknowledge a commit.
-func (s *scout) leaderWell(leader *member, first Status) {
+func (s *monitor) leaderWell(leader *member, first Status) {
 	if !s.doubtful.Load() {
 		return
 	}
@@ -133,7 +126,7 @@
 }
 
 // stalled reports whether replicas receive nothing although the primary has more.
-func (s *scout) stalled(leader *member, first Status) bool {
+func (s *monitor) stalled(leader *member, first Status) bool {
 	before, ok := s.furthestReplica(leader)
 	if !ok || !before.Less(first.Received) {
 		return false
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -36,12 +36,10 @@
 	// running counts the statements in flight.
 	running int
 	// failures counts failed connections since the last answer.
-	failures    int
-	failedSince entity.Time
-	silent      bool
-	pauseUntil  entity.Time
-	lagUntil    entity.Time
-	fullUntil   entity.Time
+	failures   int
+	pauseUntil entity.Time
+	lagUntil   entity.Time
+	fullUntil  entity.Time
 	// lagSince is the first read that the member refused as lagging since it last
 	// served one.
 	lagSince entity.Time
@@ -103,15 +101,9 @@
 	return l
 }
 
-// failed notes a connection that could not be opened or that broke. silent
-// failures are those in which the peer did not answer at all.
-func (m *member) failed(at entity.Time, silent bool) {
-	if m.failures == 0 {
-		m.failedSince = at
-		m.silent = silent
-	}
+// failed notes a connection that could not be opened or that broke.
+func (m *member) failed(at entity.Time) {
 	m.failures++
-	m.silent = m.silent && silent
 	m.pauseUntil = at.Add(min(failurePause<<min(m.failures, 4), maxFailurePause))
 }
 
--- a/internal/managed/scout.go
+++ b/internal/managed/monitor.go
@@ -10,19 +10,18 @@
 )
 
 const (
-	// scoutInterval is the time between looks at a database that is well.
-	scoutInterval = 250 * time.Millisecond
+	// monitorInterval is the time between looks at a database that is well.
+	monitorInterval = 250 * time.Millisecond
 	// doubtInterval is the same while the primary is in doubt.
 	doubtInterval = 100 * time.Millisecond
 	// probeTimeout bounds one status call, a new connection included. On a busy
 	// upstream in another region it takes up to 300 ms.
 	probeTimeout = 360 * time.Millisecond
-	// refusedMisses and silentMisses are the failed status calls after which a
-	// primary counts as lost: one that refuses connections is down for certain.
-	refusedMisses = 2
-	silentMisses  = 2
-	// requestFailures is the number of connections that failed for requests which
-	// together count as a failed status call.
+	// maxMisses is the number of failed status calls in a row after which a primary
+	// counts as lost. Each makes an attempt on a new connection.
+	maxMisses = 2
+	// requestFailures is the number of failed connections of requests with which one
+	// failed status call suffices.
 	requestFailures = 3
 	// leaderlessWait is how long no member may claim to lead before a takeover.
 	leaderlessWait = 700 * time.Millisecond
@@ -34,11 +33,11 @@
 	// proxy, and inspectors is how many proxies do so for each database.
 	inspectionInterval = 1500 * time.Millisecond
 	inspectors         = 3
-	// heldCheckDelay is the time from the start, or from the end of a claim, to
-	// the look for abandoned pauses by heldInspectors proxies. Only takeovers
+	// pauseCheckDelay is the time from the start, or from the end of a claim, to
+	// the look for abandoned pauses by pauseInspectors proxies. Only takeovers
 	// pause replicas, and status calls are priced like health checks.
-	heldCheckDelay = 4 * time.Second
-	heldInspectors = 2
+	pauseCheckDelay = 4 * time.Second
+	pauseInspectors = 2
 	// localUseRecent is how long a proxy that is no gateway of a database watches it
 	// after it had to serve a session itself.
 	localUseRecent = 5 * time.Second
@@ -47,50 +46,50 @@
 	stallWindow = 300 * time.Millisecond
 )
 
-// scout watches one database: who leads it, whether the leader is well, and how
+// monitor watches one database: which member is the primary, whether it answers, and how
 // fresh the newest proof is.
-type scout struct {
+type monitor struct {
 	db       *database
 	wakeup   chan struct{}
 	doubtful atomic.Bool
 	// claimant is a member whose entry says that it is the primary.
 	claimant atomic.Pointer[member]
-	// misses counts failed status calls in a row, silent those without any answer.
-	misses, silent  int
+	// misses counts failed status calls in a row.
+	misses          int
 	leaderlessSince entity.Time
 	nextTakeover    entity.Time
 	nextInspection  entity.Time
-	// heldCheckAt is when to look for abandoned pauses, 0 if there is no reason to.
-	heldCheckAt atomic.Int64
+	// pauseCheckAt is when to look for abandoned pauses, 0 if there is no reason to.
+	pauseCheckAt atomic.Int64
 	// warmed is set once the first connections were opened.
 	warmed bool
 }
 
-func newScout(d *database) *scout {
-	s := &scout{db: d, wakeup: make(chan struct{}, 1)}
-	s.checkHeldLater()
+func newMonitor(d *database) *monitor {
+	s := &monitor{db: d, wakeup: make(chan struct{}, 1)}
+	s.checkPausesLater()
 	return s
 }
 
-// checkHeldLater makes the scout look for abandoned pauses after a while.
-func (s *scout) checkHeldLater() { s.heldCheckAt.Store(int64(now().Add(heldCheckDelay))) }
+// checkPausesLater makes the monitor look for abandoned pauses after a while.
+func (s *monitor) checkPausesLater() { s.pauseCheckAt.Store(int64(now().Add(pauseCheckDelay))) }
 
-// wake makes the scout look at once.
-func (s *scout) wake() {
+// wake makes the monitor look at once.
+func (s *monitor) wake() {
 	select {
 	case s.wakeup <- struct{}{}:
 	default:
 	}
 }
 
-// doubt makes the scout check the primary.
-func (s *scout) doubt() {
+// doubt makes the monitor check the primary.
+func (s *monitor) doubt() {
 	s.doubtful.Store(true)
 	s.wake()
 }
 
-func (s *scout) run(ctx context.Context) {
-	timer := time.NewTimer(scoutInterval)
+func (s *monitor) run(ctx context.Context) {
+	timer := time.NewTimer(monitorInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		pause := s.look()
@@ -104,7 +103,7 @@
 }
 
 // look checks the database once and returns the time until the next look.
-func (s *scout) look() time.Duration {
+func (s *monitor) look() time.Duration {
 	d := s.db
 	at := now()
 	s.checkClaimant()
@@ -115,13 +114,13 @@
 	leaving := leader != nil && leader.leavingSince != 0
 	failing := leader != nil && (leader.failures > 0 || leader.gone)
 	known := len(d.members)
-	crowded := leader != nil && d.crowded(at)
+	overloadedByLag := leader != nil && d.overloadedByLag(at)
 	// A proxy that hands its sessions over does not use the upstreams.
 	idle := !d.serves && (d.usedAt == 0 || at.Sub(d.usedAt) > localUseRecent)
 	d.mu.Unlock()
 	switch {
 	case known == 0 || idle:
-		return scoutInterval
+		return monitorInterval
 	case leader == nil:
 		s.findLeader(at)
 		return doubtInterval
@@ -131,7 +130,7 @@
 	case leaving:
 		s.takeOver(true, "leaving")
 		return doubtInterval
-	case crowded:
+	case overloadedByLag:
 		s.takeOver(true, "replicas lag")
 		return doubtInterval
 	}
@@ -142,7 +141,7 @@
 	}
 	s.renewProof(at)
 	s.inspect(at, leader)
-	return scoutInterval
+	return monitorInterval
 }
 
 // forgetMissing drops members whose entries stayed away. The mutex is held.
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -57,19 +57,19 @@
 		}
 		return
 	}
-	d.noteFailure(m, at, err)
+	d.noteFailure(m, at)
 }
 
 // noteFailure notes a connection that broke or could not be opened.
-func (d *database) noteFailure(m *member, at entity.Time, err error) {
-	m.failed(at, isTimeout(err))
+func (d *database) noteFailure(m *member, at entity.Time) {
+	m.failed(at)
 	// The other idle connections probably broke as well.
 	for _, l := range m.idle {
 		d.dropLocked(l)
 	}
 	m.idle = m.idle[:0]
 	if m == d.leader {
-		d.scout.wake()
+		d.monitor.wake()
 	}
 }
 
@@ -92,12 +92,12 @@
 	}
 	at := now()
 	if isTimeout(err) {
-		// A slow statement is no proof against the member; the scout finds out.
+		// A slow statement is no proof against the member; the monitor finds out.
 		if p.member == d.leader {
-			d.scout.doubt()
+			d.monitor.doubt()
 		}
 	} else {
-		d.noteFailure(p.member, at, err)
+		d.noteFailure(p.member, at)
 	}
 	d.dispatch(at)
 	d.arm(at)
@@ -142,7 +142,7 @@
 	if m == d.leader {
 		d.setLeader(nil, d.leaderTerm, "read_only")
 	}
-	d.scout.doubt()
+	d.monitor.doubt()
 }
 
 // setLeader changes the believed primary. The mutex is held.
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -126,7 +126,7 @@
 		d.setPolicy(policyOf(p.document()))
 		d.applyShare(p.users(d.name, d.usableConnections()))
 		d.mu.Unlock()
-		go d.scout.run(p.ctx)
+		go d.monitor.run(p.ctx)
 	}
 	return d
 }
--- a/internal/managed/rebalance.go
+++ b/internal/managed/rebalance.go
@@ -33,11 +33,11 @@
 	m.lagSince = 0
 }
 
-// crowded reports whether the primary should move to a lagging replica: reads are
+// overloadedByLag reports whether the primary should move to a lagging replica: reads are
 // refused although the replicas have free slots, because they apply too slowly.
 // What made a replica slow does not concern it as a primary, and the old primary
 // serves reads as a replica that is up to date. The mutex is held.
-func (d *database) crowded(at entity.Time) bool {
+func (d *database) overloadedByLag(at entity.Time) bool {
 	if d.refusedAt == 0 || at.Sub(d.refusedAt) > pressureRecent {
 		return false
 	}
--- a/internal/managed/survey.go
+++ b/internal/managed/survey.go
@@ -19,7 +19,7 @@
 }
 
 // survey asks members for their status, each over a connection of its own.
-func (s *scout) survey(command Command, members []*member) []report {
+func (s *monitor) survey(command Command, members []*member) []report {
 	reports := make([]report, len(members))
 	var wait sync.WaitGroup
 	for i, m := range members {
@@ -32,7 +32,7 @@
 // busyRetries is how often a status call is repeated at a member without a free slot.
 const busyRetries = 4
 
-func (s *scout) ask(m *member, command Command) report {
+func (s *monitor) ask(m *member, command Command) report {
 	d := s.db
 	r := report{member: m}
 	d.mu.Lock()
@@ -59,7 +59,7 @@
 }
 
 // askOver sends one status command and gives the link back.
-func (s *scout) askOver(l *link, command Command, deadline time.Time) (Status, error) {
+func (s *monitor) askOver(l *link, command Command, deadline time.Time) (Status, error) {
 	d := s.db
 	var status Status
 	var err error
@@ -111,13 +111,13 @@
 	return m.failures
 }
 
-func (s *scout) others(leader *member) []*member {
+func (s *monitor) others(leader *member) []*member {
 	return slices.DeleteFunc(s.db.all(), func(m *member) bool { return m == leader })
 }
 
 // furthestReplica returns the highest position received by a replica. It reports
 // false if no replica answers.
-func (s *scout) furthestReplica(leader *member) (entity.Position, bool) {
+func (s *monitor) furthestReplica(leader *member) (entity.Position, bool) {
 	var furthest entity.Position
 	found := false
 	for _, r := range s.survey(Command{Kind: CommandStatus}, s.db.all()) {
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -26,23 +26,32 @@
 )
 
 // takeOver promotes a successor if this proxy gets the claim.
-func (s *scout) takeOver(leaving bool, reason string) {
+func (s *monitor) takeOver(leaving bool, reason string) {
 	d := s.db
 	if now() < s.nextTakeover || !d.settled() {
 		return
 	}
-	s.nextTakeover = now().Add(takeoverPause())
-	c, err := d.proxy.claimTakeover(d)
-	if err != nil {
-		if !errors.Is(err, errClaimHeld) {
-			d.proxy.events.storeFailed("claim_takeover", err)
-		}
+	c := s.claim("claim_takeover")
+	if c == nil {
 		return
 	}
-	t := &takeoverRun{scout: s, db: d, claim: c, leaving: leaving, began: now()}
+	t := &takeoverRun{monitor: s, db: d, claim: c, leaving: leaving, began: now()}
 	d.proxy.events.takeoverBegan(d.name, reason, c.fence)
 	t.run()
-	s.misses, s.silent = 0, 0
+	s.misses = 0
+}
+
+// claim asks for the claim of the database, nil if this proxy does not get it.
+func (s *monitor) claim(step string) *claim {
+	s.nextTakeover = now().Add(takeoverPause())
+	c, err := s.db.proxy.claimTakeover(s.db)
+	if err == nil {
+		return c
+	}
+	if !errors.Is(err, errClaimHeld) {
+		s.db.proxy.events.storeFailed(step, err)
+	}
+	return nil
 }
 
 // settleTime is how long a proxy that has just started takes no lost primary over.
@@ -59,7 +68,7 @@
 
 // takeoverRun is one takeover by this proxy.
 type takeoverRun struct {
-	scout   *scout
+	monitor *monitor
 	db      *database
 	claim   *claim
 	leaving bool
@@ -80,7 +89,7 @@
 		if t.refused || !t.renew() {
 			break
 		}
-		reports := t.scout.survey(Command{Kind: CommandStatus}, t.asked())
+		reports := t.monitor.survey(Command{Kind: CommandStatus}, t.asked())
 		decision := takeover.Decide(t.view(reports))
 		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence)
 		switch decision.Step {
@@ -89,7 +98,7 @@
 		case takeover.StepPause:
 			t.pause(reports, decision)
 		case takeover.StepDone:
-			t.scout.adopt(reports)
+			t.monitor.adopt(reports)
 			t.claim.end()
 			return
 		case takeover.StepPromote:
@@ -148,7 +157,7 @@
 		r := &reports[i]
 		m := takeover.Member{
 			Name: r.spec.Name, Reached: r.err == nil, Primary: r.status.Primary, Term: r.status.Term,
-			HeldTerm: r.status.HeldTerm, Received: r.status.Received, Leaving: r.member.leavingSince != 0,
+			PauseTerm: r.status.PauseTerm, Received: r.status.Received, Leaving: r.member.leavingSince != 0,
 		}
 		if r.member == d.leader {
 			v.LeaderHealthy = t.leaving && m.Reached && m.Primary
@@ -178,7 +187,7 @@
 	for _, m := range members {
 		t.paused[m.name] = m
 	}
-	for _, r := range t.scout.survey(Command{Kind: CommandPause, Term: decision.Term}, members) {
+	for _, r := range t.monitor.survey(Command{Kind: CommandPause, Term: decision.Term}, members) {
 		if r.err != nil {
 			t.db.proxy.events.memberFailed(t.db.name, r.spec.Name, "pause", r.err)
 		}
@@ -231,8 +240,8 @@
 		}
 	}
 	for end := now().Add(leadTimeout); now() < end; time.Sleep(surveyPause) {
-		answers := t.scout.survey(Command{Kind: CommandStatus}, members)
-		if t.scout.adopt(answers) {
+		answers := t.monitor.survey(Command{Kind: CommandStatus}, members)
+		if t.monitor.adopt(answers) {
 			return true
 		}
 		t.renew()
@@ -249,7 +258,7 @@
 		for _, m := range t.paused {
 			members = append(members, m)
 		}
-		for _, r := range t.scout.survey(Command{Kind: CommandResume}, members) {
+		for _, r := range t.monitor.survey(Command{Kind: CommandResume}, members) {
 			if r.err != nil {
 				t.db.proxy.events.memberFailed(t.db.name, r.spec.Name, "resume", r.err)
 			}
@@ -260,23 +269,19 @@
 
 // release lifts pauses that a dead proxy left. A newer fence token comes first, so
 // that the platform refuses an order of that proxy which is carried out late.
-func (s *scout) release(leader *member, held []*member) {
+func (s *monitor) release(leader *member, held []*member) {
 	d := s.db
 	if now() < s.nextTakeover {
 		return
 	}
-	s.nextTakeover = now().Add(takeoverPause())
-	c, err := d.proxy.claimTakeover(d)
-	if err != nil {
-		if !errors.Is(err, errClaimHeld) {
-			d.proxy.events.storeFailed("claim_release", err)
-		}
+	c := s.claim("claim_release")
+	if c == nil {
 		return
 	}
 	defer c.end()
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
 	defer cancel()
-	err = d.proxy.options.Promoter.Promote(ctx, d.name, leader.name, d.proxy.options.Settings.VM, c.fence)
+	err := d.proxy.options.Promoter.Promote(ctx, d.name, leader.name, d.proxy.options.Settings.VM, c.fence)
 	d.proxy.events.promoted(d.name, leader.name, c.fence, err)
 	if err != nil {
 		return
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -184,10 +184,10 @@
 	d.mu.Lock()
 	if isTimeout(err) {
 		if m == d.leader {
-			d.scout.doubt()
+			d.monitor.doubt()
 		}
 	} else {
-		d.noteFailure(m, now(), err)
+		d.noteFailure(m, now())
 	}
 	d.mu.Unlock()
 	t.fail("")
