End the load generator's runs whatever a connection or a caller does

Cause: pgx starts a background read when a write takes longer than 15 ms and leaves it pending on the socket. The pool's check for a quiet connection used RawConn.Read, which waits for the read lock that this read holds, so a demo beside load never ended. RawConn.Control takes no read lock.

A run also has a bound now: the deadlines and retries of its ranks. Requests that do not return after their context ended are reported as unfinished, and closing a pool waits once for the grace, not once a connection.

TestPoolWithPendingRead failed before (no connection after 5 s). TestRunEndsWithoutItsCallers covers the bound.

--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -198,6 +198,63 @@
 	p.put(fresh)
 }
 
+// Guards against a pool that waits without a bound for a read that is pending on
+// an idle connection, as pgx leaves one behind after a slow write.
+func TestPoolWithPendingRead(t *testing.T) {
+	primary := startGroup(t)[0]
+	p, err := newPool(primary.Address(), &Options{Database: "shop", User: "caller"})
+	assert.NilError(t, err)
+	c, err := p.get(t.Context())
+	assert.NilError(t, err)
+	reading := make(chan struct{})
+	go func() {
+		close(reading)
+		_, _ = c.PgConn().Conn().Read(make([]byte, 1))
+	}()
+	<-reading
+	time.Sleep(50 * time.Millisecond) // lets the read reach the socket
+	p.put(c)
+	got := make(chan error, 1)
+	go func() {
+		_, err := p.get(context.Background())
+		got <- err
+	}()
+	select {
+	case err := <-got:
+		assert.NilError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the pool did not return a connection")
+	}
+}
+
+// Guards against a run that a caller who does not return keeps from ending.
+func TestRunEndsWithoutItsCallers(t *testing.T) {
+	primary := startGroup(t)[0]
+	r, err := newRunner(&Options{
+		Targets:  []string{primary.Address()},
+		Duration: 100 * time.Millisecond,
+		Ranks:    []Rank{{Name: "first", Rate: 50, Callers: 3, Deadline: 100 * time.Millisecond}},
+	})
+	assert.NilError(t, err)
+	defer r.close()
+	release := make(chan struct{})
+	defer close(release)
+	r.pools[0].config.DialFunc = func(context.Context, string, string) (net.Conn, error) {
+		<-release
+		return nil, io.EOF
+	}
+	ended := make(chan *Report, 1)
+	go func() { ended <- r.run(context.Background()) }()
+	select {
+	case report := <-ended:
+		first := report.Ranks[0]
+		assert.Assert(t, report.Unfinished > 0)
+		assert.Equal(t, report.Unfinished, first.Arrivals-first.Shed)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the run did not end")
+	}
+}
+
 // Guards against declarations that a proxy can't read.
 func TestDeclarations(t *testing.T) {
 	rank := &Rank{Class: "order", ReadClass: "lookup", Deadline: 250 * time.Millisecond}
--- a/internal/standin/load/options.go
+++ b/internal/standin/load/options.go
@@ -105,6 +105,17 @@
 	return nil
 }
 
+// longestRequest bounds the time from the arrival of a request to its last
+// answer. A retry hint beyond the deadline can exceed it; such a retry is not sent.
+func (o *Options) longestRequest() time.Duration {
+	longest := time.Duration(0)
+	for i := range o.Ranks {
+		rank := &o.Ranks[i]
+		longest = max(longest, time.Duration(rank.Attempts)*(rank.Deadline+2*grace+rank.RetryDelay))
+	}
+	return longest
+}
+
 func orDefault[T int | float64 | time.Duration](value, otherwise T) T {
 	if value <= 0 {
 		return otherwise
--- a/internal/standin/load/pool.go
+++ b/internal/standin/load/pool.go
@@ -56,6 +56,9 @@
 
 // isQuiet reports whether an idle connection is open and has nothing to read. A
 // proxy that closed it must not turn the next request into an unknown one.
+//
+// It uses RawConn.Control rather than Read: pgx may still have a read of its own
+// pending after a slow write, and Read would wait for that one without a bound.
 func isQuiet(c *pgx.Conn) bool {
 	tcp, ok := c.PgConn().Conn().(syscall.Conn)
 	if !ok {
@@ -66,9 +69,8 @@
 		return false
 	}
 	var pending error
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, pending = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	return err == nil && errors.Is(pending, syscall.EAGAIN)
 }
@@ -78,23 +80,32 @@
 	if c.IsClosed() {
 		return
 	}
+	if !p.keep(c) {
+		closeConn(c)
+	}
+}
+
+// keep adds an idle connection unless the pool is closed.
+func (p *pool) keep(c *pgx.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		closeConn(c)
-		return
+	if !p.closed {
+		p.idle = append(p.idle, c)
 	}
-	p.idle = append(p.idle, c)
+	return !p.closed
 }
 
 func (p *pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for _, c := range p.idle {
-		closeConn(c)
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	// A target that does not answer costs the grace once, not once a connection.
+	var group sync.WaitGroup
+	for _, c := range idle {
+		group.Go(func() { closeConn(c) })
 	}
-	p.idle = nil
+	group.Wait()
 }
 
 func closeConn(c *pgx.Conn) {
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -78,7 +78,10 @@
 	// start to the planned end, in milliseconds; 0 if the load has no writes.
 	// It includes the gaps between arrivals.
 	LongestWriteGap float64 `json:"longest_write_gap_ms"`
-	Writes          []Write `json:"writes,omitempty"`
+	// Unfinished counts the requests that did not return although their context
+	// had ended: a fault of the load generator, not of the target.
+	Unfinished int     `json:"unfinished"`
+	Writes     []Write `json:"writes,omitempty"`
 }
 
 // Violations returns the number of reads that missed an own write.
@@ -111,7 +114,10 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "longest time without an acknowledged write: %.0f ms\n", r.LongestWriteGap)
+	if _, err := fmt.Fprintf(w, "longest time without an acknowledged write: %.0f ms\n", r.LongestWriteGap); err != nil || r.Unfinished == 0 {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "requests that did not return: %d\n", r.Unfinished)
 	return err
 }
 
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +65,8 @@
 	mu       sync.Mutex
 	ranks    []*rankState
 	inFlight int
+	// unfinished counts the requests that had no outcome when the run ended.
+	unfinished int
 	// lastWrite is when a write was last acknowledged, at first the start.
 	lastWrite time.Time
 	gap       time.Duration
@@ -71,35 +75,82 @@
 	writes   []Write
 }
 
-// Run sends the planned load and waits for the last answer. It ends early when
-// the context ends.
+// Run sends the planned load and waits for the last answer, for as long as the
+// deadlines and retries of the ranks allow. It ends early when the context ends.
 func Run(ctx context.Context, options Options) (*Report, error) {
+	r, err := newRunner(&options)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	return r.run(ctx), nil
+}
+
+func newRunner(options *Options) (*runner, error) {
 	if err := options.complete(); err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	r := &runner{options: &options, start: now, lastWrite: now}
+	r := &runner{options: options}
 	for _, address := range options.Targets {
-		p, err := newPool(address, &options)
+		p, err := newPool(address, options)
 		if err != nil {
 			return nil, err
 		}
-		defer p.close()
 		r.pools = append(r.pools, p)
 	}
 	for i := range options.Ranks {
-		r.ranks = append(r.ranks, newRankState(&options, i))
+		r.ranks = append(r.ranks, newRankState(options, i))
+	}
+	return r, nil
+}
+
+func (r *runner) close() {
+	for _, p := range r.pools {
+		p.close()
+	}
+}
+
+func (r *runner) run(ctx context.Context) *Report {
+	now := time.Now()
+	r.start, r.lastWrite = now, now
+	limited, cancel := context.WithTimeout(ctx, r.options.Duration+r.options.longestRequest())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		r.runRanks(limited)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-limited.Done():
+		r.awaitCancelled(ended)
 	}
+	end := r.start.Add(r.options.Duration)
+	if ctx.Err() != nil {
+		end = time.Now()
+	}
+	return r.report(end)
+}
+
+// runRanks returns after the last request.
+func (r *runner) runRanks(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, rank := range r.ranks {
 		group.Go(func() { r.runRank(ctx, rank, &group) })
 	}
 	group.Wait()
-	end := r.start.Add(options.Duration)
-	if ctx.Err() != nil {
-		end = time.Now()
+}
+
+// awaitCancelled gives requests whose context has ended time to return. One that
+// does not must not keep the report back: it is counted as unfinished.
+func (r *runner) awaitCancelled(ended <-chan struct{}) {
+	select {
+	case <-ended:
+	case <-time.After(2 * grace):
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.unfinished = r.inFlight
 	}
-	return r.report(end), nil
 }
 
 func newRankState(options *Options, index int) *rankState {
@@ -447,11 +498,14 @@
 		Seed:            r.options.Seed,
 		Duration:        time.Since(r.start),
 		LongestWriteGap: milliseconds(r.gap.Microseconds()),
-		Writes:          r.writes,
+		Unfinished:      r.unfinished,
+		Writes:          slices.Clone(r.writes),
 	}
 	for _, rank := range r.ranks {
 		rank.report.Latency = quantiles(rank.latency)
 		rank.report.Refusal = quantiles(rank.refusal)
+		// Unfinished requests may still write to the maps of the rank.
+		rank.report.Outcomes, rank.report.Errors = maps.Clone(rank.report.Outcomes), maps.Clone(rank.report.Errors)
 		out.Ranks = append(out.Ranks, rank.report)
 	}
 	return out
