Tell a session of its loss before a queued request of it runs

Cause: whether the writes of a session survived a change of primary was asked when a request was queued, not when it ran. A request that waited in the queue while the primary changed ran on the new one: a read missed the lost write, and a write raised the session's position, which hid the loss for good.

The dispatch asks again. A request that may have run is answered as unknown and no longer takes the report away from the session's next request.

--- a/core/admit.go
+++ b/core/admit.go
@@ -224,10 +224,15 @@
 }
 
 // reportLost tells a session once that its last write is not proven to have
-// survived a change of primary.
+// survived a change of primary. A request that may have run is answered as such,
+// which tells nothing of the earlier write, so that the next request does.
 func (n *Node) reportLost(r *request) {
 	db := r.db
 	status, _ := db.group.Status(db.primary)
+	if r.maybeRan {
+		n.finish(r, Result{Kind: ResultUnknown, Reason: "primary_changed"})
+		return
+	}
 	db.sessions.set(r.arrival.Session, status.Log)
 	n.finish(r, Result{Kind: ResultWriteLost, Reason: "primary_changed", Position: status.Log})
 }
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,9 +25,20 @@
 	kinds  map[ResultKind]int
 	// mute drops all probes.
 	mute bool
+	// promoted makes the second upstream the primary of term 2, which began at
+	// offset kept.
+	promoted bool
+	kept     uint64
+	// stalled drops all completions.
+	stalled bool
+	// last are the results of the last tick.
+	last []Result
 }
 
-const rigUpstreams = 3
+const (
+	rigUpstreams = 3
+	rigSlots     = 64
+)
 
 // newRig returns a rig with databases, each with three upstreams.
 func newRig(databases int) *rig {
@@ -46,13 +58,14 @@
 		Ranks: []flood.RankPolicy{{Name: "first", Target: time.Second, KeptShare: 0.5}, {Name: "last", Target: time.Second, KeptShare: 0.1}},
 		Classes: []Class{
 			{Name: "order", Timeout: time.Hour, Cost: time.Millisecond},
+			{Name: "strict", ReadOnly: true, Repeatable: true, Timeout: time.Hour, Cost: time.Millisecond},
 			{Name: "browse", Rank: 1, ReadOnly: true, Repeatable: true, MaxAge: time.Hour, Timeout: time.Hour, Cost: time.Millisecond},
 		},
 	}
 	for i := range databases {
 		db := DatabaseSpec{Name: rigDatabase(i), DefaultClass: "order"}
 		for j := range rigUpstreams {
-			db.Upstreams = append(db.Upstreams, UpstreamSpec{Name: rigUpstream(i, j), Slots: 64, Connections: 400})
+			db.Upstreams = append(db.Upstreams, UpstreamSpec{Name: rigUpstream(i, j), Slots: rigSlots, Connections: 400})
 		}
 		service.Databases = append(service.Databases, db)
 	}
@@ -77,6 +90,7 @@
 	out := r.node.Tick(r.now, &r.in)
 	r.in.Reset()
 	r.done += len(out.Results)
+	r.last = append(r.last[:0], out.Results...)
 	for i := range out.Results {
 		r.kinds[out.Results[i].Kind]++
 	}
@@ -89,6 +103,9 @@
 	for i := range out.Dispatches {
 		d := &out.Dispatches[i]
 		r.offset++
+		if r.stalled {
+			continue
+		}
 		r.in.Completions = append(r.in.Completions, Completion{Handle: d.Handle, Connection: d.Connection})
 	}
 	for i := range out.Probes {
@@ -99,10 +116,14 @@
 }
 
 func (r *rig) answer(p *GroupProbeRequest) {
-	primary := p.Upstream[len(p.Upstream)-1] == '0'
-	at := entity.Position{Term: 1, Offset: r.offset}
+	name, term, history := byte('0'), uint64(1), rigHistory
+	if r.promoted {
+		name, term, history = '1', 2, append(slices.Clone(rigHistory), entity.TermStart{Term: 2, Offset: r.kept})
+	}
+	primary := p.Upstream[len(p.Upstream)-1] == name
+	at := entity.Position{Term: term, Offset: r.offset}
 	a := GroupProbe{Database: p.Database, ProbeAnswer: group.ProbeAnswer{Round: p.Round, Upstream: p.Upstream}}
-	a.Status = entity.MemberStatus{Upstream: p.Upstream, Primary: primary, Term: 1, Log: at, Applied: at, History: rigHistory}
+	a.Status = entity.MemberStatus{Upstream: p.Upstream, Primary: primary, Term: term, Log: at, Applied: at, History: history}
 	r.in.Probes = append(r.in.Probes, a)
 }
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/flood"
+	"skylarkhinge.dev/skylarkhinge/core/group"
 )
 
 // dispatch gives free slots to queued requests.
@@ -29,8 +30,31 @@
 			u.putBack(c)
 			return
 		}
-		n.run(n.requests[item.Handle], c)
+		r := n.requests[item.Handle]
+		if !n.stillHeld(r) {
+			u.putBack(c)
+			continue
+		}
+		n.run(r, c)
+	}
+}
+
+// stillHeld reports whether the session's earlier writes are part of the current
+// history. The primary can have changed while the request was queued, and a
+// write that runs all the same would hide the loss from its session.
+func (n *Node) stillHeld(r *request) bool {
+	survival := n.survival(r)
+	if survival == group.SurvivalHeld {
+		return true
+	}
+	r.db.sched.Done(n.now, r.item, 0)
+	r.queuedItem = false
+	if survival == group.SurvivalLost {
+		n.reportLost(r)
+	} else {
+		n.awaitFloor(r)
 	}
+	return false
 }
 
 // upstreamIndex returns the index of the primary, or -1.
@@ -77,6 +101,9 @@
 
 // runOnReplica dispatches a read to the eligible replica with the most free slots.
 func (n *Node) runOnReplica(r *request) {
+	if !n.stillHeld(r) {
+		return
+	}
 	db := r.db
 	best := -1
 	for i := range db.upstreams {
--- a/core/node_test.go
+++ b/core/node_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -136,6 +137,50 @@
 	assert.Equal(t, r.node.Snapshot().Transactions, 1)
 }
 
+// Guards against a request that was queued when the primary changed and runs
+// although an acknowledged write of its session is lost: a read would miss that
+// write, and a write would hide the loss from the session for good.
+func TestLossIsToldToQueuedRequests(t *testing.T) {
+	for _, class := range []string{"order", "strict"} {
+		r := newRig(1)
+		r.requests(100, 10, 1, 10)
+		r.settle(5)
+		kept := r.offset
+		r.arrive(0, 1)
+		r.in.Arrivals[0].Class = "order"
+		r.settle(1)
+		assert.Equal(t, r.kinds[ResultDone], 101)
+
+		// The slots stay taken until the connections end with the old primary.
+		r.stalled = true
+		const others = rigUpstreams*rigSlots + 1
+		for i := range others {
+			r.arrive(0, 10+i)
+			r.in.Arrivals[i].Class = class
+		}
+		r.tick(time.Millisecond)
+		r.arrive(0, 1)
+		r.in.Arrivals[0].Class = class
+		queued := r.next
+		r.tick(time.Millisecond)
+		assert.Equal(t, r.node.requests[queued].state, stateQueued)
+		r.stalled, r.promoted, r.kept = false, true, kept
+		for id, c := range r.node.conns {
+			if c.state == connBusy {
+				r.in.Connections = append(r.in.Connections, ConnectionEvent{Connection: id, State: ConnectionClosed})
+			}
+		}
+		var results []Result
+		for range 100 {
+			r.tick(15 * time.Millisecond)
+			results = append(results, r.last...)
+		}
+		at := slices.IndexFunc(results, func(res Result) bool { return res.Handle == queued })
+		assert.Assert(t, at >= 0)
+		assert.Equal(t, results[at].Kind, ResultWriteLost)
+	}
+}
+
 // Guards against an entry that was stopped with an owner's acknowledgement in
 // hand and passes it on after the primary was replaced.
 func TestEntryPausedWithAcknowledgement(t *testing.T) {
