Tell lost writes from stale reads in the load generator

Cause of the missed write in the demo: a session that is told of a loss takes a new key, and the acknowledgement of a write that was still under way then counted for the new key. An acknowledgement now counts for its own key only; TestAcknowledgementOfALeftKey failed before.

The demo compares the acknowledged writes with the log of the primary that is left. It counts writes that are lost without notice, which the old check could not see unless a read followed, and fails on them as on stale reads.

--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -12,7 +12,7 @@
 )
 
 func demoCommand(ctx context.Context, app *kingpin.Application) {
-	command := app.Command("demo", "Starts a platform, a database group of three and two proxies as processes on loopback, runs callers of three ranks and ends the primary after a third of the time. Ends with status 1 if a session missed its own write.")
+	command := app.Command("demo", "Starts a platform, a database group of three and two proxies as processes on loopback, runs callers of three ranks and ends the primary after a third of the time. Ends with status 1 if a session missed its own write, or lost one without notice.")
 	options := demo.Options{Out: os.Stdout, Errors: io.Discard}
 	command.Flag("bin", "Directory of the programs standin and skylarkhinge.").Required().ExistingDirVar(&options.Bin)
 	command.Flag("duration", "Time during which requests arrive.").Default("15s").DurationVar(&options.Duration)
@@ -39,8 +39,8 @@
 	if err := writeReport(report, file); err != nil {
 		return err
 	}
-	if n := report.Violations(); n > 0 {
-		return oops.In("demo").Errorf("%d reads missed a write of their session", n)
+	if stale, lost := report.StaleReads(), report.LostSilently(); stale > 0 || lost > 0 {
+		return oops.In("demo").Errorf("%d reads missed a write of their session, %d acknowledged writes were lost and their sessions not told", stale, lost)
 	}
 	return nil
 }
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -15,6 +15,7 @@
 
 	"skylarkhinge.dev/skylarkhinge/internal/standin/load"
 	"skylarkhinge.dev/skylarkhinge/internal/standin/process"
+	"skylarkhinge.dev/skylarkhinge/internal/standin/upstream"
 )
 
 const (
@@ -48,6 +49,8 @@
 	proxies   []*process.Process
 	layout    Layout
 	admin     string
+	// upstreamAdmins are the admin addresses of the group, in the order of upstreams.
+	upstreamAdmins []string
 }
 
 // Run starts the processes, runs the load and ends the processes.
@@ -101,7 +104,6 @@
 }
 
 func (d *demo) startGroup(ctx context.Context) error {
-	var admins []string
 	for i := range groupSize {
 		u := Upstream{Name: fmt.Sprintf("u%d", i+1), Zone: zone(i)}
 		arguments := []string{"upstream", "--name", u.Name, "--max-connections", "40", "--slots", "5", "--service-time", "2ms", "--lag", "50ms"}
@@ -117,18 +119,18 @@
 			return err
 		}
 		u.Postgres, u.Control = fields["postgres"], fields["control"]
-		admins = append(admins, fields["admin"])
+		d.upstreamAdmins = append(d.upstreamAdmins, fields["admin"])
 		d.upstreams = append(d.upstreams, c)
 		d.layout.Upstreams = append(d.layout.Upstreams, u)
 	}
-	return d.introduce(ctx, admins)
+	return d.introduce(ctx)
 }
 
 func zone(i int) string { return string(rune('a' + i)) }
 
 // introduce tells each member of the others.
-func (d *demo) introduce(ctx context.Context, admins []string) error {
-	for i, admin := range admins {
+func (d *demo) introduce(ctx context.Context) error {
+	for i, admin := range d.upstreamAdmins {
 		form := url.Values{}
 		for j, u := range d.layout.Upstreams {
 			if i != j {
@@ -233,11 +235,55 @@
 		})
 		defer timer.Stop()
 	}
-	options := load.Options{Database: d.layout.Database, User: "caller", Seed: d.options.Seed, Duration: d.options.Duration, Roam: 0.2, Ranks: ranks}
+	options := load.Options{Database: d.layout.Database, User: "caller", Seed: d.options.Seed, Duration: d.options.Duration, Roam: 0.2, Ranks: ranks, RecordWrites: true}
 	for _, p := range d.layout.Proxies {
 		options.Targets = append(options.Targets, p.Callers)
 	}
-	return load.Run(ctx, options)
+	report, err := load.Run(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	committed, err := d.committed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	report.MarkLost(committed)
+	return report, nil
+}
+
+// committed returns a lookup in the log of the primary with the highest term. A
+// member that has ended has no log to ask for.
+func (d *demo) committed(ctx context.Context) (func(key, value string) bool, error) {
+	var log []upstream.Entry
+	term, found := uint64(0), false
+	for i, admin := range d.upstreamAdmins {
+		if i == 0 && d.options.KillPrimary {
+			continue
+		}
+		var status upstream.Status
+		if err := process.Get(ctx, admin, "/status", &status); err != nil {
+			return nil, err
+		}
+		if !status.Primary || found && status.Term < term {
+			continue
+		}
+		term, found = status.Term, true
+		if err := process.Get(ctx, admin, "/log", &log); err != nil {
+			return nil, err
+		}
+	}
+	if !found {
+		return nil, oops.In("demo").With("step", "read the final log").Errorf("no upstream is primary")
+	}
+	written := map[upstream.Op]bool{}
+	for _, entry := range log {
+		for _, op := range entry.Ops {
+			written[op] = true
+		}
+	}
+	return func(key, value string) bool {
+		return written[upstream.Op{Table: upstream.TableKV, Key: key, Value: value}]
+	}, nil
 }
 
 // ranks are the callers of the demo; their classes are those of the document.
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -227,6 +227,48 @@
 	}
 }
 
+// Guards against a write of a key that its session has left, since it was told of
+// a loss meanwhile, counting as acknowledged for the session's new key.
+func TestAcknowledgementOfALeftKey(t *testing.T) {
+	r, err := newRunner(&Options{Targets: []string{"a"}, Ranks: []Rank{{Name: "first", Rate: 1, Callers: 1}}})
+	assert.NilError(t, err)
+	rank := r.ranks[0]
+	write := r.admit(rank, arrival{})
+	read := r.admit(rank, arrival{read: true})
+	r.finish(rank, read, attemptResult{outcome: OutcomeWriteLost})
+	r.finish(rank, write, attemptResult{outcome: OutcomeDone})
+	next := r.admit(rank, arrival{read: true})
+	assert.Assert(t, next.key != write.key)
+	assert.Equal(t, next.floor, 0)
+	r.finish(rank, next, attemptResult{outcome: OutcomeDone})
+	assert.Equal(t, r.report(r.start).Violations(), 0)
+
+	write = r.admit(rank, arrival{})
+	r.finish(rank, write, attemptResult{outcome: OutcomeDone})
+	next = r.admit(rank, arrival{read: true})
+	assert.Equal(t, next.floor, 1)
+	r.finish(rank, next, attemptResult{outcome: OutcomeDone})
+	assert.Equal(t, r.report(r.start).Violations(), 1)
+}
+
+// Guards against losses that are taken for stale reads, or the reverse, and
+// against a told loss that counts as silent.
+func TestMarkLost(t *testing.T) {
+	report := &Report{
+		Writes: []Write{
+			{Key: "kept", Value: "1", Outcome: OutcomeDone},
+			{Key: "silent", Value: "1", Outcome: OutcomeDone},
+			{Key: "told", Value: "1", Outcome: OutcomeDone, Told: true},
+			{Key: "unknown", Value: "1", Outcome: OutcomeUnknown},
+		},
+		Missed: []MissedRead{{Key: "kept", Expected: 1}, {Key: "silent", Expected: 1}},
+	}
+	assert.Equal(t, report.StaleReads(), 2)
+	report.MarkLost(func(key, _ string) bool { return key == "kept" })
+	assert.Equal(t, report.LostSilently(), 1)
+	assert.Equal(t, report.StaleReads(), 1)
+}
+
 // Guards against a run that a caller who does not return keeps from ending.
 func TestRunEndsWithoutItsCallers(t *testing.T) {
 	primary := startGroup(t)[0]
@@ -284,7 +326,7 @@
 	var table, text bytes.Buffer
 	assert.NilError(t, report.WriteTable(&table))
 	lines := strings.Split(strings.TrimSpace(table.String()), "\n")
-	assert.Equal(t, len(lines), 4)
+	assert.Equal(t, len(lines), 1+len(report.Ranks)+4) // header, ranks, totals
 	assert.Assert(t, slices.Contains(strings.Fields(lines[1]), "3"))
 	assert.NilError(t, report.WriteJSON(&text))
 	var back Report
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/samber/lo"
 )
 
 // Outcome is how a request or an attempt ended.
@@ -67,6 +69,25 @@
 	Value   string  `json:"value"`
 	Request string  `json:"request"`
 	Outcome Outcome `json:"outcome"`
+	// Told is set if the session was told afterwards that writes may be lost.
+	Told bool `json:"told,omitempty"`
+	// Lost is set by MarkLost.
+	Lost bool `json:"lost,omitempty"`
+}
+
+// MissedRead is a read that returned less than the session's acknowledged writes.
+type MissedRead struct {
+	Rank string `json:"rank"`
+	Key  string `json:"key"`
+	// Expected is the value of the last write that was acknowledged before the
+	// read started; Got is what the read returned, 0 for no row.
+	Expected int `json:"expected"`
+	Got      int `json:"got"`
+	// Start and End are measured from the start of the run.
+	Start time.Duration `json:"start_ns"`
+	End   time.Duration `json:"end_ns"`
+	// Lost is set by MarkLost: the read was not stale, the write is gone.
+	Lost bool `json:"lost"`
 }
 
 // Report is the result of a run.
@@ -82,6 +103,8 @@
 	// had ended: a fault of the load generator, not of the target.
 	Unfinished int     `json:"unfinished"`
 	Writes     []Write `json:"writes,omitempty"`
+	// Missed lists the reads that Violations counts.
+	Missed []MissedRead `json:"missed,omitempty"`
 }
 
 // Violations returns the number of reads that missed an own write.
@@ -93,6 +116,31 @@
 	return total
 }
 
+// MarkLost marks what the final state of the database does not hold. committed
+// reports whether a write is in the log of the primary that is left.
+func (r *Report) MarkLost(committed func(key, value string) bool) {
+	for i := range r.Writes {
+		w := &r.Writes[i]
+		w.Lost = w.Outcome == OutcomeDone && !committed(w.Key, w.Value)
+	}
+	for i := range r.Missed {
+		m := &r.Missed[i]
+		m.Lost = !committed(m.Key, strconv.Itoa(m.Expected))
+	}
+}
+
+// LostSilently returns the number of acknowledged writes that are lost without
+// notice to their sessions. It needs MarkLost.
+func (r *Report) LostSilently() int {
+	return lo.CountBy(r.Writes, func(w Write) bool { return w.Lost && !w.Told })
+}
+
+// StaleReads returns the number of reads that missed an own write that is not
+// lost. Without MarkLost these are all violations.
+func (r *Report) StaleReads() int {
+	return lo.CountBy(r.Missed, func(m MissedRead) bool { return !m.Lost })
+}
+
 // WriteJSON writes the report.
 func (r *Report) WriteJSON(w io.Writer) error {
 	encoder := json.NewEncoder(w)
@@ -114,10 +162,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(w, "longest time without an acknowledged write: %.0f ms\n", r.LongestWriteGap); err != nil || r.Unfinished == 0 {
-		return err
-	}
-	_, err := fmt.Fprintf(w, "requests that did not return: %d\n", r.Unfinished)
+	_, err := fmt.Fprintf(w, "longest time without an acknowledged write: %.0f ms\n"+
+		"acknowledged writes lost, not told: %d\nreads that missed an own write that is not lost: %d\nrequests that did not return: %d\n",
+		r.LongestWriteGap, r.LostSilently(), r.StaleReads(), r.Unfinished)
 	return err
 }
 
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -73,6 +73,9 @@
 	// finished counts the writes that ended, whatever the outcome.
 	finished int
 	writes   []Write
+	missed   []MissedRead
+	// told are the keys whose sessions were told that writes may be lost.
+	told map[string]bool
 }
 
 // Run sends the planned load and waits for the last answer, for as long as the
@@ -90,7 +93,7 @@
 	if err := options.complete(); err != nil {
 		return nil, err
 	}
-	r := &runner{options: options}
+	r := &runner{options: options, told: map[string]bool{}}
 	for _, address := range options.Targets {
 		p, err := newPool(address, options)
 		if err != nil {
@@ -436,14 +439,15 @@
 		}
 	}
 	if q.read {
-		rank.finishRead(q, result)
+		r.finishRead(rank, q, result, now)
 		return
 	}
 	r.finishWrite(q, result, now)
 }
 
-func (rank *rankState) finishRead(q *request, result attemptResult) {
+func (r *runner) finishRead(rank *rankState, q *request, result attemptResult, now time.Time) {
 	if result.outcome == OutcomeWriteLost {
+		r.told[q.key] = true
 		q.session.renew(q.key)
 	}
 	if result.outcome != OutcomeDone || q.floor == 0 {
@@ -452,6 +456,10 @@
 	rank.report.ReadsChecked++
 	if result.value < q.floor {
 		rank.report.Violations++
+		r.missed = append(r.missed, MissedRead{
+			Rank: rank.Name, Key: q.key, Expected: q.floor, Got: result.value,
+			Start: q.arrived.Sub(r.start), End: now.Sub(r.start),
+		})
 	}
 }
 
@@ -460,10 +468,16 @@
 	r.finished++
 	switch result.outcome {
 	case OutcomeDone:
-		q.session.acknowledged = q.value
+		// A session that left the key meanwhile counts from 0 again.
+		if q.session.key() == q.key {
+			q.session.acknowledged = q.value
+		}
 		r.endGap(now)
 		r.lastWrite = now
-	case OutcomeWriteLost, OutcomeAlreadyExecuted:
+	case OutcomeWriteLost:
+		r.told[q.key] = true
+		q.session.renew(q.key)
+	case OutcomeAlreadyExecuted:
 		q.session.renew(q.key)
 	}
 	if q.uncertain {
@@ -500,6 +514,10 @@
 		LongestWriteGap: milliseconds(r.gap.Microseconds()),
 		Unfinished:      r.unfinished,
 		Writes:          slices.Clone(r.writes),
+		Missed:          slices.Clone(r.missed),
+	}
+	for i := range out.Writes {
+		out.Writes[i].Told = r.told[out.Writes[i].Key]
 	}
 	for _, rank := range r.ranks {
 		rank.report.Latency = quantiles(rank.latency)
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -127,16 +128,31 @@
 		return oops.In("process").With("step", "build request", "path", path).Wrap(err)
 	}
 	request.Header.Set("Content-Type", kind)
+	return send(request, func(io.Reader) error { return nil })
+}
+
+// Get reads the JSON document at a path of an admin endpoint into out.
+func Get(ctx context.Context, address, path string, out any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return oops.In("process").With("step", "build request", "path", path).Wrap(err)
+	}
+	return send(request, func(body io.Reader) error { return json.NewDecoder(body).Decode(out) })
+}
+
+// send passes the body of a successful answer to read.
+func send(request *http.Request, read func(io.Reader) error) error {
+	fail := oops.In("process").With("step", "send request", "path", request.URL.Path, "peer", request.URL.Host)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return oops.In("process").With("step", "send request", "path", path).Wrap(err)
+		return fail.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, 1024))
-		return oops.In("process").With("step", "send request", "path", path).Errorf("%s: %s", response.Status, text)
+		return fail.Errorf("%s: %s", response.Status, text)
 	}
-	return nil
+	return fail.Wrap(read(response.Body))
 }
 
 // FreeAddresses returns addresses on a random loopback host that were free a
