--- a/config/managed.go
+++ b/config/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
 )
 
@@ -30,9 +31,9 @@
 	// MaxDescriptors bounds the open files of the process.
 	MaxDescriptors int
 	LogLevel       LogLevel
-	// LogLinesPerSecond bounds the log lines about requests. Lines about changes
-	// of state are always written.
-	LogLinesPerSecond int
+	// LogLinesPerSecond and LogBytesPerSecond bound the log lines about requests.
+	// Lines about changes of state are always written.
+	LogLinesPerSecond, LogBytesPerSecond int
 }
 
 // DefaultManagedSettings returns the values of the optional settings.
@@ -43,9 +44,22 @@
 		MaxDescriptors:    4096,
 		LogLevel:          LogInfo,
 		LogLinesPerSecond: 20,
+		LogBytesPerSecond: 16 << 10,
 	}
 }
 
+// Reload returns s with the settings of next that a running daemon can take over,
+// and whether next differs in others, which take effect with the next start.
+func (s *ManagedSettings) Reload(next *ManagedSettings) (merged *ManagedSettings, restart bool) {
+	out := *s
+	out.ShutdownGrace = next.ShutdownGrace
+	out.LeavingGrace = next.LeavingGrace
+	out.LogLevel = next.LogLevel
+	out.LogLinesPerSecond = next.LogLinesPerSecond
+	out.LogBytesPerSecond = next.LogBytesPerSecond
+	return &out, !reflect.DeepEqual(&out, next)
+}
+
 // DecodeManagedSettings reads settings. The error is an *Error with all faults.
 func DecodeManagedSettings(data []byte) (*ManagedSettings, error) {
 	d := &decoder{}
@@ -80,6 +94,7 @@
 		field{"max_descriptors", false, integer(d, &s.MaxDescriptors, 1000, 10_000_000)},
 		field{"log_level", false, choice(d, &s.LogLevel, LogDebug, LogInfo, LogWarning, LogError)},
 		field{"log_lines_per_second", false, integer(d, &s.LogLinesPerSecond, 1, 100_000)},
+		field{"log_bytes_per_second", false, integer(d, &s.LogBytesPerSecond, 1<<10, 100<<20)},
 	)
 	listeners := uniqueness{}
 	listeners.add("$.caller_address", quoteIfSet(s.CallerAddress), &d.faults)
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -21,14 +21,14 @@
 
 func addManaged(r *Registry) {
 	group := r.App.Command("managed", "The proxy daemon in front of databases whose leadership the platform arbitrates.")
-	run := group.Command("run", "Run the daemon.\n\nSIGTERM starts a drain within the grace period of the settings.").Default()
+	run := group.Command("run", "Run the daemon.\n\nSIGTERM starts a drain within the grace period of the settings. SIGHUP reads the settings file again: log level and budget, and the grace periods, change at once; the rest with the next start.").Default()
 	file := run.Flag("settings", "Settings file.").Envar(platform.SettingsVariable).Required().PlaceHolder("FILE").String()
 	r.Add(run, func(ctx context.Context) error {
 		settings, err := readManagedSettings(r.Env, *file)
 		if err != nil {
 			return err
 		}
-		return runManaged(ctx, r.Env, settings)
+		return runManaged(ctx, r.Env, *file, settings)
 	})
 	check := group.Command("check", "Check a settings file and print the settings in effect, or all its faults.")
 	checked := check.Arg("file", "Settings file, or - for standard input.").Required().String()
@@ -42,19 +42,24 @@
 	})
 }
 
+// readManagedSettings returns the faults of a file as details of the error.
 func readManagedSettings(env *Environment, file string) (*config.ManagedSettings, error) {
+	settings, err := decodeManagedSettings(env, file)
+	return settings, faultsOf(file, err)
+}
+
+func decodeManagedSettings(env *Environment, file string) (*config.ManagedSettings, error) {
 	data, err := readInput(env, file, config.MaxSettingsBytes)
 	if err != nil {
 		return nil, err
 	}
-	settings, err := config.DecodeManagedSettings(data)
-	return settings, faultsOf(file, err)
+	return config.DecodeManagedSettings(data)
 }
 
 // logQueueLines bounds the log lines that wait for the reader of standard output.
 const logQueueLines = 4096
 
-func runManaged(ctx context.Context, env *Environment, settings *config.ManagedSettings) error {
+func runManaged(ctx context.Context, env *Environment, file string, settings *config.ManagedSettings) error {
 	out := telemetry.NewLineWriter(env.Stdout, logQueueLines)
 	defer out.Close()
 	log, err := newLogger(out, settings.LogLevel)
@@ -101,7 +106,8 @@
 		}
 		defer server.Close()
 	}
-	logReloads(log)
+	stopReloads := reloadOnSignal(env, file, log, p)
+	defer stopReloads()
 	stop := drainOnSignal(p)
 	defer stop()
 	log.WithFields(logrus.Fields{
@@ -135,14 +141,34 @@
 	return nil
 }
 
-// logReloads keeps SIGHUP from ending the process. What the settings say does not
-// change while a process runs, so there is nothing to load anew.
-func logReloads(log *logrus.Logger) {
+// reloadOnSignal reads the settings file again at each SIGHUP. A file with faults
+// changes nothing.
+func reloadOnSignal(env *Environment, file string, log *logrus.Logger, p *managed.Proxy) (stop func()) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	go func() {
 		for range signals {
-			log.WithField("event", "reload").Info("settings are kept until the next start")
+			if err := reload(env, file, log, p); err != nil {
+				log.WithFields(logrus.Fields{"event": "reload_failed", "step": "read_settings", "file": file}).WithError(err).Error("settings are kept")
+			}
 		}
 	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
+
+func reload(env *Environment, file string, log *logrus.Logger, p *managed.Proxy) error {
+	settings, err := decodeManagedSettings(env, file)
+	if err != nil {
+		return err
+	}
+	level, err := logrus.ParseLevel(string(settings.LogLevel))
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	p.Reload(settings)
+	return nil
 }
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -47,7 +47,7 @@
 	d.mu.Lock()
 	seen := d.claim
 	d.mu.Unlock()
-	if seen.revision != 0 && seen.Holder != p.options.Settings.VM {
+	if seen.revision != 0 && seen.Holder != p.settings().VM {
 		return nil, errClaimHeld
 	}
 	at := now()
@@ -71,7 +71,7 @@
 
 // write writes the key anew and takes its revision as the fence token.
 func (c *claim) write() error {
-	value, err := json.Marshal(claimRecord{Holder: c.proxy.options.Settings.VM})
+	value, err := json.Marshal(claimRecord{Holder: c.proxy.settings().VM})
 	if err != nil {
 		return err
 	}
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -198,7 +198,7 @@
 // accepts reports whether a member may get new work. A leaving primary serves on
 // until its successor leads, but not past its time. The mutex is held.
 func (d *database) accepts(m *member, at entity.Time) bool {
-	if m.leavingSince != 0 && at.Sub(m.leavingSince) > d.proxy.options.Settings.LeavingGrace-leavingMargin {
+	if m.leavingSince != 0 && at.Sub(m.leavingSince) > d.proxy.settings().LeavingGrace-leavingMargin {
 		return false
 	}
 	return m.available(at)
--- a/internal/managed/drain.go
+++ b/internal/managed/drain.go
@@ -11,14 +11,18 @@
 
 // drainSchedule is the shutdown of a proxy in time. It is safe for concurrent use.
 type drainSchedule struct {
-	began atomic.Pointer[time.Time]
+	began atomic.Pointer[drainStart]
+}
+
+// drainStart is when a shutdown began and how long it may take.
+type drainStart struct {
+	at    time.Time
 	grace time.Duration
 }
 
 // begin starts the shutdown. Further calls have no effect.
-func (d *drainSchedule) begin() bool {
-	at := time.Now()
-	return d.began.CompareAndSwap(nil, &at)
+func (d *drainSchedule) begin(grace time.Duration) bool {
+	return d.began.CompareAndSwap(nil, &drainStart{time.Now(), grace})
 }
 
 // active reports whether the shutdown began.
@@ -28,7 +32,7 @@
 // of rotation they would come back to it.
 func (d *drainSchedule) handingOver() bool {
 	began := d.began.Load()
-	return began != nil && time.Since(*began) >= rotationDelay
+	return began != nil && time.Since(began.at) >= rotationDelay
 }
 
 // sessionEnd returns when a session without a request is closed, zero if the
@@ -39,14 +43,15 @@
 		return time.Time{}
 	}
 	if inTransaction {
-		return began.Add(max(d.grace/2, rotationDelay))
+		return began.at.Add(max(began.grace/2, rotationDelay))
 	}
-	return began.Add(rotationDelay)
+	return began.at.Add(rotationDelay)
 }
 
 // exitBy returns when the process ends whatever is open.
 func (d *drainSchedule) exitBy() time.Time {
-	return d.began.Load().Add(d.grace - exitMargin)
+	began := d.began.Load()
+	return began.at.Add(began.grace - exitMargin)
 }
 
 // exitMargin is left of the grace period for closing the listeners and the lease.
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -2,32 +2,67 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/takeover"
 	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
 // events writes one key=value line for each decision that touches a request or
-// changes what the proxy believes. Lines about requests have a budget; what is
-// left out is counted in a line of its own.
+// changes what the proxy believes. Lines about requests have a budget of lines and
+// bytes a second; what is left out is counted in a line of its own.
 type events struct {
-	log     *logrus.Logger
-	vm      string
-	repeats telemetry.Repeats
+	log *logrus.Logger
+	// requests has the same output as log and counts the bytes it writes.
+	requests *logrus.Logger
+	written  *countingFormatter
+	vm       string
+	repeats  telemetry.Repeats
+
+	mu sync.Mutex
+	// maxLines and maxBytes are the budget of a second, lines and bytes what is
+	// left of it. bytes may go below zero by one line.
+	maxLines, maxBytes int
+	lines, bytes       int
+	second             int64
+	omitted            map[Code]int
+}
+
+// countingFormatter counts the bytes of the lines that it formats.
+type countingFormatter struct {
+	logrus.Formatter
+	bytes atomic.Int64
+}
 
-	mu      sync.Mutex
-	budget  int
-	second  int64
-	perSec  int
-	omitted map[Code]int
+func (f *countingFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	line, err := f.Formatter.Format(entry)
+	f.bytes.Add(int64(len(line)))
+	return line, err
 }
 
-func newEvents(log *logrus.Logger, vm string, linesPerSecond int) *events {
-	return &events{log: log, vm: vm, perSec: linesPerSecond, omitted: map[Code]int{}}
+func newEvents(log *logrus.Logger, vm string) *events {
+	written := &countingFormatter{Formatter: log.Formatter}
+	requests := logrus.New()
+	requests.SetOutput(log.Out)
+	requests.SetFormatter(written)
+	return &events{log: log, requests: requests, written: written, vm: vm, omitted: map[Code]int{}}
+}
+
+// setBudget replaces the budget of lines about requests.
+func (e *events) setBudget(linesPerSecond, bytesPerSecond int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.maxLines, e.maxBytes = linesPerSecond, bytesPerSecond
+}
+
+// request starts a line that admit has let through.
+func (e *events) request(event string) *logrus.Entry {
+	return e.requests.WithFields(logrus.Fields{"event": event, "vm": e.vm})
 }
 
 func (e *events) line(event string) *logrus.Entry {
@@ -39,15 +74,20 @@
 	e.line(event).WithFields(fields).Info("state changed")
 }
 
-// admit takes one line from the budget of the current second.
+// admit takes one line from the budget of the current second. The size of a line
+// is known once it is written, so that it is charged to the lines after it.
 func (e *events) admit(code Code) bool {
+	if !e.log.IsLevelEnabled(logrus.InfoLevel) {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.bytes -= int(e.written.bytes.Swap(0))
 	if second := time.Now().Unix(); second != e.second {
-		e.second, e.budget = second, e.perSec
+		e.second, e.lines, e.bytes = second, e.maxLines, e.maxBytes
 	}
-	if e.budget > 0 {
-		e.budget--
+	if e.lines > 0 && e.bytes > 0 {
+		e.lines--
 		return true
 	}
 	e.omitted[code]++
@@ -75,7 +115,7 @@
 	if !e.admit(reply.Code) {
 		return
 	}
-	e.line("request_failed").WithFields(logrus.Fields{
+	e.request("request_failed").WithFields(logrus.Fields{
 		"id": statement.ID, "database": s.host, "group": s.group(), "document": s.proxy.document().Version, "code": reply.Code.String(), "reason": reply.Text,
 		"took_ms": took.Milliseconds(), "caller": s.caller.Address(), "statement": statement.Kind,
 	}).WithFields(s.stages.fields()).Info("request failed")
@@ -86,7 +126,7 @@
 	if !e.admit(CodeNone) {
 		return
 	}
-	e.line("request_slow").WithFields(logrus.Fields{
+	e.request("request_slow").WithFields(logrus.Fields{
 		"id": statement.ID, "database": s.host, "group": s.group(), "took_ms": took.Milliseconds(),
 		"caller": s.caller.Address(), "statement": statement.Kind,
 	}).WithFields(s.stages.fields()).Info("request answered late")
@@ -95,12 +135,19 @@
 // transactionEnded logs a transaction that the proxy ended between statements.
 func (e *events) transactionEnded(s *session, reason string) {
 	if e.admit(CodeAborted) {
-		e.line("transaction_ended").WithFields(logrus.Fields{
+		e.request("transaction_ended").WithFields(logrus.Fields{
 			"database": s.host, "reason": reason, "caller": s.caller.Address(),
 		}).Info("transaction ended by the proxy")
 	}
 }
 
+func (e *events) reloaded(settings *config.ManagedSettings, restart bool) {
+	e.state("reload", logrus.Fields{
+		"log_level": settings.LogLevel, "log_lines_per_second": settings.LogLinesPerSecond, "log_bytes_per_second": settings.LogBytesPerSecond,
+		"leaving_grace": settings.LeavingGrace, "shutdown_grace": settings.ShutdownGrace, "restart_needed": restart,
+	})
+}
+
 func memberName(m *member) entity.Upstream {
 	if m == nil {
 		return "none"
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -62,13 +63,16 @@
 	connections int
 	routes      []standin.Route
 	nodes       []*node
+	// logOutput replaces the logs of nodes that start, if set.
+	logOutput io.Writer
 }
 
 type node struct {
-	proxy   *managed.Proxy
-	address string
-	log     *lineLog
-	done    chan error
+	proxy    *managed.Proxy
+	settings config.ManagedSettings
+	address  string
+	log      *lineLog
+	done     chan error
 	// stop ends the proxy at once, with the connections of its callers.
 	stop func()
 	// conns are the accepted connections.
@@ -116,7 +120,7 @@
 	settings := config.DefaultManagedSettings()
 	settings.VM = fmt.Sprintf("vm-%d", i)
 	settings.AvailabilityZone, settings.Region = fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("region-%d", i%3)
-	settings.LogLinesPerSecond = 1000
+	settings.LogLinesPerSecond, settings.LogBytesPerSecond = 1000, 1<<20
 	peers, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	settings.PeerAddress = peers.Addr().String()
@@ -125,8 +129,11 @@
 	lines := &lineLog{}
 	log := logrus.New()
 	log.SetOutput(lines)
+	if f.logOutput != nil {
+		log.SetOutput(f.logOutput)
+	}
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
-	n := &node{log: lines, done: make(chan error, 1)}
+	n := &node{settings: settings, log: lines, done: make(chan error, 1)}
 	n.proxy = managed.New(managed.Options{
 		Settings: &settings, Store: platform.NewStore(f.store.AddressFor(settings.VM)), Protocol: platform.Lines{VM: settings.VM},
 		Promoter: platform.NewPromotions(f.store.Address()), Documents: platform.NewDocuments(), NewCaller: n.accept, Log: log,
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -21,6 +21,7 @@
 
 // Options are what a proxy is made of.
 type Options struct {
+	// Settings are those of the start; Reload can replace some of them.
 	Settings *config.ManagedSettings
 	Store    Store
 	Protocol Protocol
@@ -31,7 +32,8 @@
 	NewCaller func(net.Conn) Caller
 	// Regions has the region of each availability zone.
 	Regions map[string]string
-	Log     *logrus.Logger
+	// Log has an output that is safe for concurrent use.
+	Log *logrus.Logger
 }
 
 // Proxy is the daemon.
@@ -41,6 +43,8 @@
 	// observer is nil if no metrics are served.
 	observer *observer
 	drain    drainSchedule
+	// effective are the settings in effect; see Reload.
+	effective atomic.Pointer[config.ManagedSettings]
 
 	current atomic.Pointer[Document]
 	// configured is closed once the first configuration is in force.
@@ -71,7 +75,7 @@
 func New(options Options) *Proxy {
 	p := &Proxy{
 		options:   options,
-		events:    newEvents(options.Log, options.Settings.VM, options.Settings.LogLinesPerSecond),
+		events:    newEvents(options.Log, options.Settings.VM),
 		databases: map[entity.Database]*database{},
 		byMember:  map[entity.Upstream]*database{},
 		sessions:  map[*session]struct{}{},
@@ -81,11 +85,29 @@
 		configured: make(chan struct{}),
 		draining:   make(chan struct{}),
 	}
-	p.drain.grace = options.Settings.ShutdownGrace
+	p.apply(options.Settings)
 	p.current.Store(&Document{})
 	return p
 }
 
+func (p *Proxy) settings() *config.ManagedSettings { return p.effective.Load() }
+
+func (p *Proxy) apply(settings *config.ManagedSettings) {
+	p.effective.Store(settings)
+	p.events.setBudget(settings.LogLinesPerSecond, settings.LogBytesPerSecond)
+}
+
+// Reload takes over the settings that can change while the proxy serves. A
+// shutdown that has begun keeps its grace period. It reports whether the others
+// differ, too; these take effect with the next start. It must not be called
+// concurrently.
+func (p *Proxy) Reload(next *config.ManagedSettings) (restart bool) {
+	merged, restart := p.settings().Reload(next)
+	p.apply(merged)
+	p.events.reloaded(merged, restart)
+	return restart
+}
+
 func (p *Proxy) document() *Document { return p.current.Load() }
 
 func (p *Proxy) route(host string) (Route, bool) {
@@ -229,7 +251,7 @@
 func (p *Proxy) serveCaller(conn net.Conn, fromPeer bool) {
 	s := &session{proxy: p, caller: p.options.NewCaller(conn), fromPeer: fromPeer}
 	p.mu.Lock()
-	full := len(p.sessions) >= p.options.Settings.MaxDescriptors-descriptorReserve
+	full := len(p.sessions) >= p.settings().MaxDescriptors-descriptorReserve
 	if !full {
 		p.sessions[s] = struct{}{}
 	}
@@ -247,9 +269,9 @@
 
 // Drain begins a graceful shutdown.
 func (p *Proxy) Drain() {
-	if p.drain.begin() {
+	if grace := p.settings().ShutdownGrace; p.drain.begin(grace) {
 		close(p.draining)
-		p.events.state("shutdown_began", logrus.Fields{"grace_ms": p.drain.grace.Milliseconds()})
+		p.events.state("shutdown_began", logrus.Fields{"grace_ms": grace.Milliseconds()})
 	}
 }
 
@@ -344,6 +366,6 @@
 func (d *database) inspectionPlace() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	own := entity.VM(d.proxy.options.Settings.VM)
+	own := entity.VM(d.proxy.settings().VM)
 	return slices.IndexFunc(d.gateways, func(g gateway.Proxy) bool { return g.VM == own })
 }
--- a/internal/managed/relay.go
+++ b/internal/managed/relay.go
@@ -64,7 +64,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peers := slices.DeleteFunc(slices.Collect(maps.Values(p.proxies.listed)), func(g gateway.Proxy) bool {
-		return g.StatusAddress == "" || string(g.VM) == p.options.Settings.VM
+		return g.StatusAddress == "" || string(g.VM) == p.settings().VM
 	})
 	if len(peers) == 0 {
 		return gateway.Proxy{}, false
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -231,7 +231,7 @@
 		}
 	}
 	p.mu.Unlock()
-	if c.Removed && name == p.options.Settings.VM {
+	if c.Removed && name == p.settings().VM {
 		select {
 		case s.reregister <- struct{}{}:
 		default:
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -213,7 +213,7 @@
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
-	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.options.Settings.VM, t.claim.fence)
+	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.settings().VM, t.claim.fence)
 	cancel()
 	t.db.proxy.events.promoted(t.db.name, target, t.claim.fence, err)
 	switch {
@@ -281,7 +281,7 @@
 	defer c.end()
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
 	defer cancel()
-	err := d.proxy.options.Promoter.Promote(ctx, d.name, leader.name, d.proxy.options.Settings.VM, c.fence)
+	err := d.proxy.options.Promoter.Promote(ctx, d.name, leader.name, d.proxy.settings().VM, c.fence)
 	d.proxy.events.promoted(d.name, leader.name, c.fence, err)
 	if err != nil {
 		return
