Play random failures against fleets with gateways and stopped proxies

TestRandomFailures had three proxies that serve everything themselves and never end. TestRandomFailuresOfGateways has six, of which three are gateways, and stops and starts proxies; callers that lose their session open another one, and a writer whose write is in doubt changes its item.

--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -191,15 +191,25 @@
 // connect opens a session. refused is the proxy's refusal, nil if it accepted.
 func (n *node) connect(t testing.TB, database string) (c *caller, refused *managed.Refused) {
 	t.Helper()
+	c, refused, err := n.dial(t, database)
+	assert.NilError(t, err)
+	return c, refused
+}
+
+// dial opens a session at a proxy that may be gone.
+func (n *node) dial(t testing.TB, database string) (*caller, *managed.Refused, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
 	defer cancel()
 	conn, err := platform.Lines{VM: "u1"}.Dial(ctx, managed.Member{Database: entity.Database(database), Address: n.address})
+	var refused *managed.Refused
 	if errors.As(err, &refused) {
-		return nil, refused
+		return nil, refused, nil
+	}
+	if err != nil {
+		return nil, nil, err
 	}
-	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	return &caller{t: t, conn: conn, name: fmt.Sprintf("c%d", callers.Add(1))}, nil
+	return &caller{t: t, conn: conn, name: fmt.Sprintf("c%d", callers.Add(1))}, nil, nil
 }
 
 // accepts reports whether the proxy accepts a session for a database.
@@ -230,12 +240,23 @@
 
 func (c *caller) query(text string) result {
 	c.t.Helper()
+	r, err := c.try(text)
+	assert.NilError(c.t, err)
+	return r
+}
+
+// try runs a statement. The error tells that the session ended without an answer.
+func (c *caller) try(text string) (result, error) {
 	c.ids++
 	id := fmt.Sprintf("%s-%d", c.name, c.ids)
-	assert.NilError(c.t, c.conn.Send(time.Now().Add(callerTime), managed.Command{Kind: managed.CommandStatement, ID: id, Text: text}))
+	if err := c.conn.Send(time.Now().Add(callerTime), managed.Command{Kind: managed.CommandStatement, ID: id, Text: text}); err != nil {
+		return result{id: id}, err
+	}
 	reply, err := c.conn.Receive(time.Now().Add(callerTime))
-	assert.NilError(c.t, err)
-	return result{id: id, rows: reply.Rows, code: reply.Code, text: reply.Text, state: reply.State}
+	if err != nil {
+		return result{id: id}, err
+	}
+	return result{id: id, rows: reply.Rows, code: reply.Code, text: reply.Text, state: reply.State}, nil
 }
 
 // closed waits for the proxy to end the session and returns the code it gave.
--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"skylarkhinge.dev/skylarkhinge/internal/managed"
 	"skylarkhinge.dev/skylarkhinge/platform/standin"
 )
@@ -25,12 +27,13 @@
 
 // writerState is what a writer knows of its item: the values it writes grow.
 type writerState struct {
-	item string
-	// sent is the newest value sent, acked the newest one acknowledged.
-	sent  atomic.Int64
-	acked atomic.Int64
-	mu    sync.Mutex
-	// history has the acknowledged values with their times.
+	name string
+	// sent is the newest value sent.
+	sent atomic.Int64
+	mu   sync.Mutex
+	// epoch numbers the items of the writer, see renew.
+	epoch int
+	// history has the acknowledged values of the item with their times.
 	history []ackedValue
 }
 
@@ -39,16 +42,40 @@
 	at    time.Time
 }
 
-// ackedBefore returns the newest value that was acknowledged before an instant.
-func (w *writerState) ackedBefore(at time.Time) int64 {
+func (w *writerState) item() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.itemLocked()
+}
+
+func (w *writerState) itemLocked() string { return fmt.Sprintf("%s-%d", w.name, w.epoch) }
+
+// renew changes the item, since a write of unknown outcome may still arrive and
+// replace a later value.
+func (w *writerState) renew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epoch++
+	w.history = nil
+}
+
+func (w *writerState) acknowledge(value int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history = append(w.history, ackedValue{value, time.Now()})
+}
+
+// ackedBefore returns the item and its newest value that was acknowledged before
+// an instant.
+func (w *writerState) ackedBefore(at time.Time) (item string, value int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i := len(w.history) - 1; i >= 0; i-- {
 		if w.history[i].at.Before(at) {
-			return w.history[i].value
+			return w.itemLocked(), w.history[i].value
 		}
 	}
-	return 0
+	return w.itemLocked(), 0
 }
 
 // outcome is how a write ended for its caller.
@@ -60,6 +87,12 @@
 // randomWorld is a fleet under random faults with callers that check what they get.
 type randomWorld struct {
 	*fleet
+	// stopsProxies makes proxies end with their sessions, too.
+	stopsProxies bool
+	// proxies guards nodes once proxies stop.
+	proxies sync.Mutex
+	// entries has the proxy of each session by the name of its caller.
+	entries sync.Map
 	random  *rand.Rand
 	writers []*writerState
 	stop    time.Time
@@ -83,69 +116,122 @@
 	w.outcomes = append(w.outcomes, outcome{r.id, r.code})
 }
 
-// write runs a writer that never has two writes under way. A caller reconnects
-// after a broken connection.
-func (w *randomWorld) write(state *writerState, n *node, database string, transactions bool) {
-	defer w.wait.Done()
-	c := w.join(n, database)
-	if c == nil {
-		return
+// client is a caller that opens a new session, perhaps at another proxy, after
+// its session ended.
+type client struct {
+	world    *randomWorld
+	database string
+	// home is the proxy of the first session.
+	home int
+	*caller
+}
+
+// query runs a statement. ended is set if the session ended without an answer,
+// which promises nothing; the client has a new session then.
+func (c *client) query(text string) (r result, ended bool) {
+	r, err := c.try(text)
+	if err == nil {
+		return r, false
+	}
+	if !c.world.stopsProxies {
+		c.world.t.Errorf("%s: %v", text, err)
+	}
+	c.connect()
+	return result{id: r.id, code: managed.CodeInDoubt}, true
+}
+
+// connect opens a session at the client's proxy or, if that does not accept it, at
+// another one. Without a configuration a proxy refuses a session for now.
+func (c *client) connect() {
+	w := c.world
+	for i := c.home; ; i++ {
+		caller, refused, err := w.node(i%len(w.nodes)).dial(w.t, c.database)
+		if err == nil && refused == nil {
+			c.caller = caller
+			w.entries.Store(caller.name, fmt.Sprintf("vm-%d", i%len(w.nodes)))
+			return
+		}
+		tolerated := err != nil && w.stopsProxies || refused != nil && refused.Code == managed.CodeBusy
+		if !tolerated || time.Now().After(w.stop.Add(failoverLimit)) {
+			w.t.Fatalf("session for %s: %v %v", c.database, refused, err)
+		}
+		time.Sleep(10 * time.Millisecond)
 	}
+}
+
+func (w *randomWorld) client(home int, database string) *client {
+	c := &client{world: w, database: database, home: home}
+	c.connect()
+	return c
+}
+
+func (w *randomWorld) node(i int) *node {
+	w.proxies.Lock()
+	defer w.proxies.Unlock()
+	return w.nodes[i]
+}
+
+// restart ends a proxy with its sessions and starts another one in its place.
+func (w *randomWorld) restart(i int, pause time.Duration) {
+	w.node(i).stop()
+	time.Sleep(pause)
+	n := w.start(i)
+	w.proxies.Lock()
+	defer w.proxies.Unlock()
+	w.nodes[i] = n
+}
+
+// write runs a writer that never has two writes under way.
+func (w *randomWorld) write(state *writerState, home int, database string, transactions bool) {
+	defer w.wait.Done()
+	c := w.client(home, database)
 	for time.Now().Before(w.stop) {
 		value := state.sent.Add(1)
-		text := fmt.Sprintf("WRITE %s %d", state.item, value)
+		text := fmt.Sprintf("WRITE %s %d", state.item(), value)
 		var r result
+		ended := false
 		if transactions {
-			r = w.writeInTransaction(c, text)
+			r, ended = w.writeInTransaction(c, text)
 		} else {
-			r = c.query(text)
+			r, ended = c.query(text)
 			w.note(r)
 		}
+		if ended {
+			// The write may still take effect, after the next one of this writer.
+			state.renew()
+			continue
+		}
 		if r.code == managed.CodeNone {
 			w.served.Add(1)
-			state.mu.Lock()
-			state.acked.Store(value)
-			state.history = append(state.history, ackedValue{value, time.Now()})
-			state.mu.Unlock()
+			state.acknowledge(value)
 			w.checkOwn(c, state, database, value)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// join opens a session, nil if that fails. Without a configuration a proxy refuses
-// it for now.
-func (w *randomWorld) join(n *node, database string) *caller {
-	for {
-		c, refused := n.connect(w.t, database)
-		if refused == nil {
-			return c
+func (w *randomWorld) writeInTransaction(c *client, text string) (result, bool) {
+	for _, statement := range []string{"BEGIN", text} {
+		r, ended := c.query(statement)
+		if ended {
+			return r, true
 		}
-		if refused.Code != managed.CodeBusy || time.Now().After(w.stop) {
-			w.t.Errorf("session for %s: %v", database, refused)
-			return nil
+		if r.code != managed.CodeNone {
+			// The transaction's end is what counts; it rolls back.
+			_, ended = c.query("ROLLBACK")
+			return r, ended
 		}
 	}
-}
-
-func (w *randomWorld) writeInTransaction(c *caller, text string) result {
-	c.query("BEGIN")
-	r := c.query(text)
-	if r.code != managed.CodeNone {
-		// The transaction's end is what counts; it rolls back.
-		c.query("ROLLBACK")
-		return r
-	}
 	return c.query("COMMIT")
 }
 
 // checkOwn reads the session's own write.
-func (w *randomWorld) checkOwn(c *caller, state *writerState, database string, value int64) {
+func (w *randomWorld) checkOwn(c *client, state *writerState, database string, value int64) {
 	if database != sessionDB {
 		return
 	}
-	if r := c.query("READ " + state.item); r.code == managed.CodeNone && valueOf(r) < value {
-		w.t.Errorf("session of %s reads %d after writing %d (%s)", state.item, valueOf(r), value, r.id)
+	if r, _ := c.query("READ " + state.item()); r.code == managed.CodeNone && valueOf(r) < value {
+		w.t.Errorf("session of %s reads %d after writing %d (%s)", state.item(), valueOf(r), value, r.id)
 	}
 }
 
@@ -161,21 +247,18 @@
 }
 
 // read runs a reader that checks the age of what it gets.
-func (w *randomWorld) read(n *node, database string, age time.Duration, seed uint64) {
+func (w *randomWorld) read(home int, database string, age time.Duration, seed uint64) {
 	defer w.wait.Done()
 	random := rand.New(rand.NewPCG(seed, 1))
-	c := w.join(n, database)
-	if c == nil {
-		return
-	}
+	c := w.client(home, database)
 	for time.Now().Before(w.stop) {
 		state := w.writers[random.IntN(len(w.writers))]
-		must := state.ackedBefore(time.Now().Add(-age))
-		r := c.query("READ " + state.item)
+		item, must := state.ackedBefore(time.Now().Add(-age))
+		r, _ := c.query("READ " + item)
 		if r.code == managed.CodeNone {
 			w.served.Add(1)
 			if got := valueOf(r); got < must {
-				w.t.Errorf("%s reader reads %s=%d, acknowledged %v ago was %d (%s)", database, state.item, got, age, must, r.id)
+				w.t.Errorf("%s reader reads %s=%d, acknowledged %v ago was %d (%s)", database, item, got, age, must, r.id)
 			}
 		}
 		time.Sleep(time.Duration(random.IntN(12)) * time.Millisecond)
@@ -187,7 +270,11 @@
 	for time.Now().Before(w.stop) {
 		m := w.group.Member(w.random.IntN(3))
 		pause := time.Duration(50+w.random.IntN(900)) * time.Millisecond
-		kind := w.random.IntN(10)
+		kinds := 10
+		if w.stopsProxies {
+			kinds = 12
+		}
+		kind := w.random.IntN(kinds)
 		w.faults = append(w.faults, fmt.Sprintf("%d:%s:%s", kind, m.ID, pause))
 		switch kind {
 		case 0:
@@ -223,6 +310,8 @@
 			m.SetLag(0)
 		case 9:
 			w.crashBehindDeafReplica(m, pause)
+		case 10, 11:
+			w.restart(w.random.IntN(len(w.nodes)), pause)
 		}
 		time.Sleep(time.Duration(w.random.IntN(300)) * time.Millisecond)
 	}
@@ -291,14 +380,37 @@
 	}
 }
 
+// Guards against the same where proxies hand sessions to gateways and proxies end
+// without notice: a commit that is told as rolled back, a statement that runs twice
+// over two gateways, and a session whose values are lost on the way.
+func TestRandomFailuresOfGateways(t *testing.T) {
+	for i := range *randomSeeds {
+		seed := *randomSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			w := newRandomWorld(newScarceFleet(t), seed)
+			w.stopsProxies = true
+			w.play(seed)
+			assert.Assert(t, w.handedOver() > 0, "no session was handed over")
+		})
+	}
+}
+
 func runRandom(t *testing.T, seed uint64) {
-	w := &randomWorld{fleet: newFleet(t, 3), random: rand.New(rand.NewPCG(seed, 0)), stop: time.Now().Add(randomTime)}
+	newRandomWorld(newFleet(t, 3), seed).play(seed)
+}
+
+func newRandomWorld(f *fleet, seed uint64) *randomWorld {
+	w := &randomWorld{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), stop: time.Now().Add(randomTime)}
 	for i := range 6 {
-		w.writers = append(w.writers, &writerState{item: fmt.Sprintf("w%d", i)})
+		w.writers = append(w.writers, &writerState{name: fmt.Sprintf("w%d", i)})
 	}
+	return w
+}
+
+func (w *randomWorld) play(seed uint64) {
 	for i, state := range w.writers {
 		w.wait.Add(1)
-		go w.write(state, w.nodes[i%3], []string{strictDB, sessionDB, strictDB}[i%3], i >= 3)
+		go w.write(state, i%len(w.nodes), []string{strictDB, sessionDB, strictDB}[i%3], i >= 3)
 	}
 	for i := range 9 {
 		w.wait.Add(1)
@@ -306,12 +418,25 @@
 		if i%3 != 0 {
 			database, age = []string{"", boundedDB, sessionDB}[i%3], time.Second
 		}
-		go w.read(w.nodes[i/3], database, age, seed*100+uint64(i))
+		go w.read(i/3, database, age, seed*100+uint64(i))
 	}
 	w.breakThings()
 	w.wait.Wait()
-	c := w.nodes[0].open(t, strictDB)
+	c := w.client(0, strictDB)
 	c.eventually(failoverLimit, "WRITE final 1")
 	w.check()
-	t.Logf("seed %d: %d served, promotions %d, faults %v", seed, w.served.Load(), len(w.store.Promotions()), w.faults)
+	w.t.Logf("seed %d: %d served, promotions %d, faults %v", seed, w.served.Load(), len(w.store.Promotions()), w.faults)
+}
+
+// handedOver counts the statements that ran through another proxy than the first
+// one of their session.
+func (w *randomWorld) handedOver() int {
+	count := 0
+	for _, r := range w.group.Runs() {
+		entry, known := w.entries.Load(r.ID[:strings.LastIndex(r.ID, "-")])
+		if known && entry != r.Caller {
+			count++
+		}
+	}
+	return count
 }
