--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -26,7 +26,7 @@
 var errUnknownDatabase = errors.New("database is not in the configuration")
 
 func (p *Proxy) distance(zone string) int {
-	s := p.options.Settings
+	s := p.settings()
 	switch {
 	case zone == s.AvailabilityZone:
 		return placement.SameZone
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -103,7 +103,7 @@
 
 // self describes this proxy as other proxies list it.
 func (p *Proxy) self() gateway.Proxy {
-	s := p.options.Settings
+	s := p.settings()
 	return gateway.Proxy{VM: entity.VM(s.VM), AvailabilityZone: s.AvailabilityZone, Region: s.Region, Address: s.PeerAddress, StatusAddress: s.MetricsAddress}
 }
 
