Pause after every change before the next watch

Cause: each change of the store wakes the watch of every proxy, one call each. Change: the pause that followed changes of the proxy list follows all changes and is 5 ms a proxy, 400 ms at most; a change that comes alone is not delayed.

--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -144,27 +144,28 @@
 	}
 	s.apply(changes)
 	s.revision = revision
-	if onlyProxies(changes) {
-		sleep(ctx, coalesceTime)
+	if len(changes) > 0 {
+		sleep(ctx, s.proxy.coalesceTime())
 	}
 	return nil
 }
 
-// coalesceTime is the pause after changes that only concern the list of proxies.
-// They come in series, and each watch counts as a call.
-const coalesceTime = 250 * time.Millisecond
+// The pause after a change and before the next watch. Changes come in series, and
+// each watch of each proxy counts as a call, so that it grows with the fleet. A
+// change that comes alone is never delayed.
+const (
+	coalescePerProxy = 5 * time.Millisecond
+	coalesceMax      = 400 * time.Millisecond
+)
 
-func anyProxies(changes []Change) bool {
-	return slices.ContainsFunc(changes, func(c Change) bool { return strings.HasPrefix(c.Key, vmPrefix) })
+func (p *Proxy) coalesceTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(time.Duration(p.proxies.count())*coalescePerProxy, coalesceMax)
 }
 
-func onlyProxies(changes []Change) bool {
-	for i := range changes {
-		if !strings.HasPrefix(changes[i].Key, vmPrefix) {
-			return false
-		}
-	}
-	return len(changes) > 0
+func anyProxies(changes []Change) bool {
+	return slices.ContainsFunc(changes, func(c Change) bool { return strings.HasPrefix(c.Key, vmPrefix) })
 }
 
 // list reads everything. What is not listed counts as removed.
