Leave room at upstreams for the successors of proxies that lose power

Cause: an upstream counts the connections of a VM that lost power for 3 s. The fleet held 18 to 26 of 34 connections of a primary with 2 to 5 statements running (30 to 46 of 53 in the grown pool), so that after the last fault new connections were refused with connection_limit and strict reads and writes failed with "the primary could not be proven in time" until the dead connections were dropped.

Change: idle connections close after 0.4 s instead of 4 s, down to half of a proxy's share.

--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -65,15 +65,21 @@
 	return m.open < share && at >= m.fullUntil
 }
 
-// idleTimeout is how long a connection beyond the first stays idle. What a proxy
-// that lost power held still counts at the upstream for 3 s, and its successor
-// needs connections at once, so that a pool holds little more than it uses.
-const idleTimeout = 4 * time.Second
+// idleTimeout is how long a connection beyond the kept ones stays idle. What a
+// proxy that lost power held still counts at the upstream for 3 s, and its
+// successor needs connections at once. With 4 s the fleet held three quarters of
+// the limit, and successors were refused until the dead connections were dropped.
+const idleTimeout = 400 * time.Millisecond
+
+// keptConnections is how many connections to a member stay open without load, so
+// that all proxies together leave half of its limit free. The mutex is held.
+func (d *database) keptConnections() int { return max(1, d.share/2) }
 
 // closeIdle closes the connections that the load does not need. The mutex is held.
 func (d *database) closeIdle(at entity.Time) {
+	kept := d.keptConnections()
 	for _, m := range d.members {
-		for len(m.idle) > 0 && m.open > 1 && at.Sub(m.idle[0].lastUsed) > idleTimeout {
+		for len(m.idle) > 0 && m.open > kept && at.Sub(m.idle[0].lastUsed) > idleTimeout {
 			d.dropLocked(m.idle[0])
 			m.idle = m.idle[1:]
 		}
