Share the watches of the store within an availability zone

Cause: each proxy watched the store for itself.

Change: in a zone of six proxies or more, two of them watch the store and serve the changes to the others from their memory. A watcher speaks for the store only while its last contact is younger than 2.5 s; a proxy whose watcher does not answer within 2 s, or has lost the store or the history, watches the store itself for 4 to 8 s. Smaller zones work as before.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -71,7 +71,7 @@
 		Store:     platform.NewStore(settings.StoreAddress),
 		Protocol:  platform.Lines{VM: settings.VM},
 		Promoter:  platform.NewPromotions(settings.PromotionAddress),
-		Documents: platform.NewDocuments(),
+		Peers:     platform.NewPeers(),
 		NewCaller: platform.NewCaller,
 		Regions:   settings.Regions,
 		Log:       log,
@@ -100,6 +100,7 @@
 		mux := http.NewServeMux()
 		mux.Handle("/", server.Handler)
 		mux.HandleFunc("GET "+managed.DocumentPath, p.ServeDocument)
+		mux.HandleFunc("GET "+managed.ChangesPath, p.ServeChanges)
 		server.Handler = mux
 		if err := serveHTTP(log, server, settings.MetricsAddress); err != nil {
 			return err
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -298,6 +298,9 @@
 	Value      []byte
 	// Problem tells why an entry was not understood.
 	Problem error
+	// Source is the entry as the store sent it, for other proxies. It is not set
+	// for listed entries.
+	Source []byte
 }
 
 // Store is the platform's store.
@@ -317,10 +320,14 @@
 	EndLease(ctx context.Context, lease uint64) error
 }
 
-// Documents asks other proxies for their configuration.
-type Documents interface {
-	// Fetch returns the configuration in force at the proxy with the address.
-	Fetch(ctx context.Context, address string) (*Document, error)
+// Peers asks other proxies for what they know of the store.
+type Peers interface {
+	// Document returns the configuration in force at the proxy with the address.
+	Document(ctx context.Context, address string) (*Document, error)
+	// Changes returns the changes after a revision from the proxy with the address,
+	// and the revision to continue from. Without changes it returns after a short
+	// wait. The error is ErrHistoryGone if the proxy no longer has them.
+	Changes(ctx context.Context, address string, after uint64) ([]Change, uint64, error)
 }
 
 // Errors of the promotion API.
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -221,6 +221,14 @@
 	e.state("document_relayed", logrus.Fields{"peer": from, "version": version})
 }
 
+// following logs the proxy that changes of the store come from, none for the store.
+func (e *events) following(watcher entity.VM) {
+	if watcher == "" {
+		watcher = "none"
+	}
+	e.state("watcher_changed", logrus.Fields{"peer": watcher})
+}
+
 func (e *events) proxiesChanged(count int) {
 	e.state("proxies_changed", logrus.Fields{"proxies": count})
 }
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -72,7 +72,9 @@
 	settings config.ManagedSettings
 	address  string
 	log      *lineLog
-	done     chan error
+	// deaf makes the proxy leave questions of other proxies unanswered.
+	deaf atomic.Bool
+	done chan error
 	// stop ends the proxy at once, with the connections of its callers.
 	stop func()
 	// conns are the accepted connections.
@@ -136,10 +138,19 @@
 	n := &node{settings: settings, log: lines, done: make(chan error, 1)}
 	n.proxy = managed.New(managed.Options{
 		Settings: &settings, Store: platform.NewStore(f.store.AddressFor(settings.VM)), Protocol: platform.Lines{VM: settings.VM},
-		Promoter: platform.NewPromotions(f.store.Address()), Documents: platform.NewDocuments(), NewCaller: n.accept, Log: log,
+		Promoter: platform.NewPromotions(f.store.Address()), Peers: platform.NewPeers(), NewCaller: n.accept, Log: log,
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	})
-	status.Config.Handler = http.HandlerFunc(n.proxy.ServeDocument)
+	mux := http.NewServeMux()
+	mux.HandleFunc(managed.DocumentPath, n.proxy.ServeDocument)
+	mux.HandleFunc(managed.ChangesPath, n.proxy.ServeChanges)
+	status.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.deaf.Load() {
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 	status.Start()
 	f.t.Cleanup(status.Close)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -26,8 +26,8 @@
 	Store    Store
 	Protocol Protocol
 	Promoter Promoter
-	// Documents asks other proxies for their configuration; it may be nil.
-	Documents Documents
+	// Peers asks other proxies; it may be nil.
+	Peers Peers
 	// NewCaller returns the protocol of an accepted connection.
 	NewCaller func(net.Conn) Caller
 	// Regions has the region of each availability zone.
@@ -47,6 +47,8 @@
 	effective atomic.Pointer[config.ManagedSettings]
 
 	current atomic.Pointer[Document]
+	// watched has the changes that this proxy serves to others.
+	watched *watchLog
 	// configured is closed once the first configuration is in force.
 	configured chan struct{}
 	// draining is closed when the shutdown begins.
@@ -82,6 +84,7 @@
 		proxies:   proxyCount{listed: map[string]gateway.Proxy{}},
 		ctx:       context.Background(),
 
+		watched:    newWatchLog(),
 		configured: make(chan struct{}),
 		draining:   make(chan struct{}),
 	}
--- a/internal/managed/relay.go
+++ b/internal/managed/relay.go
@@ -49,7 +49,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayInterval)
 	defer cancel()
-	doc, err := p.options.Documents.Fetch(ctx, peer.StatusAddress)
+	doc, err := p.options.Peers.Document(ctx, peer.StatusAddress)
 	if err != nil {
 		p.events.limited("relay_failed", "fetch_document", string(peer.VM), nil, err)
 		return
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -77,6 +77,10 @@
 	reregister chan struct{}
 	// watching cancels the watch under way.
 	watching atomic.Pointer[context.CancelFunc]
+	// watcherName is the proxy that the changes come from, empty for the store.
+	watcherName entity.VM
+	// shareFrom is when the proxy may follow a watcher again.
+	shareFrom time.Time
 }
 
 func newStoreSync(p *Proxy) *storeSync {
@@ -89,7 +93,7 @@
 		defer close(done)
 		s.keepListed(ctx)
 	}()
-	if s.proxy.options.Documents != nil {
+	if s.proxy.options.Peers != nil {
 		go s.relayDocuments(ctx)
 	}
 	s.follow(ctx)
@@ -135,16 +139,13 @@
 	if s.revision == 0 {
 		return s.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	s.watching.Store(&cancel)
-	changes, revision, err := s.proxy.options.Store.Watch(ctx, s.revision, watchWait)
+	changes, revision, err := s.next(ctx)
 	if err != nil {
 		return err
 	}
 	s.apply(changes)
 	s.revision = revision
-	if len(changes) > 0 {
+	if len(changes) > 0 && s.watcherName == "" {
 		sleep(ctx, s.proxy.coalesceTime())
 	}
 	return nil
@@ -281,7 +282,11 @@
 	defer cancel()
 	store := s.proxy.options.Store
 	if listed {
-		return store.KeepLease(ctx, s.lease)
+		err := store.KeepLease(ctx, s.lease)
+		if err == nil {
+			s.proxy.watched.touch()
+		}
+		return err
 	}
 	if s.lease == 0 {
 		lease, err := store.GrantLease(ctx, vmTTL)
