Move sessions away from a gateway that ends

Cause: a proxy that hands a session over learned of the end of its gateway from the next statement, which then ended in doubt (EXECUTE at a gateway that had begun to shut down 2.3 s before), and the session ended with it.

Change: the proxy keeps the session's values, prepared statements and last write position, which gateways now tell it. Outside a transaction it leaves a gateway that is no longer listed before the next statement, or one that failed, restores the session at another one or serves it itself, and repeats what is safe to repeat.

TestSessionLeavesAGatewayThatDrains failed before (in_doubt); TestOwnWritesAreSeenAtTheNextGateway fails without the write position.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -120,7 +120,7 @@
 	Welcome() error
 	// Reject refuses a session.
 	Reject(code Code, text string) error
-	// Answer ends a statement.
+	// Answer ends a statement. It passes the position of the reply on if it has one.
 	Answer(Reply, TransactionState) error
 	// Address is the peer's address, for logs.
 	Address() string
@@ -282,7 +282,7 @@
 	// ErrHistoryGone means that a watch must begin again with a listing.
 	ErrHistoryGone = errors.New("history is no longer available")
 	// ErrNotDone means that the store refused the call and did nothing.
-	ErrNotDone = errors.New("store refused the call")
+	ErrNotDone = errors.New("the call was refused")
 )
 
 // Change is one entry of the store that was listed, written or removed.
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -24,8 +24,10 @@
 type remote struct {
 	conn Upstream
 	vm   entity.VM
-	// open is set while the caller has a transaction open.
+	// open is set while the caller has a transaction open or failed.
 	open bool
+	// broken is set once the gateway did not answer.
+	broken bool
 }
 
 // handOver starts the session at a gateway of its database. It returns nil if this
@@ -53,26 +55,157 @@
 }
 
 // executeRemote passes a statement to the gateway. last is set if the session
-// cannot go on, since its state was lost with the gateway.
-func (s *session) executeRemote(statement *Statement) (reply Reply, state TransactionState, last bool) {
-	r := s.remote
-	s.stages.tries, s.stages.member = 1, entity.Upstream(r.vm)
+// cannot go on, since its transaction was lost with the gateway.
+func (s *session) executeRemote(statement *Statement, arrived entity.Time) (reply Reply, state TransactionState, last bool) {
+	if !s.remote.open && s.gatewayGone() {
+		s.leaveGateway()
+	}
 	defer since(&s.stages.run, now())
+	deadline := s.remoteDeadline()
+	for moved := false; s.remote != nil; moved = true {
+		r := s.remote
+		s.stages.tries++
+		s.stages.member = entity.Upstream(r.vm)
+		reply, err := r.exchange(deadline, Command{Kind: CommandStatement, ID: statement.ID, Text: statement.Text})
+		if err == nil {
+			s.noteRemote(statement, reply)
+			return reply, reply.State, false
+		}
+		r.broken = true
+		repeat := !moved && !r.open && s.repeatable(statement) && time.Now().Before(deadline)
+		if !repeat || !s.leaveGateway() {
+			return r.lost(statement, err), StateIdle, r.open
+		}
+	}
+	reply, state = s.execute(statement, arrived)
+	return reply, state, false
+}
+
+// remoteDeadline bounds a statement at a gateway.
+func (s *session) remoteDeadline() time.Time {
 	route, _ := s.proxy.route(s.host)
 	timeout := route.StatementTimeout
 	if timeout <= 0 {
 		timeout = defaultStatementTimeout
 	}
-	deadline := time.Now().Add(timeout + handOverSlack)
-	err := r.conn.Send(deadline, Command{Kind: CommandStatement, ID: statement.ID, Text: statement.Text})
-	if err == nil {
-		reply, err = r.conn.Receive(deadline)
+	return time.Now().Add(timeout + handOverSlack)
+}
+
+// exchange sends commands and returns the last reply, or the first that is an error.
+func (r *remote) exchange(deadline time.Time, commands ...Command) (Reply, error) {
+	if err := r.conn.Send(deadline, commands...); err != nil {
+		return Reply{}, err
+	}
+	var reply Reply
+	for range commands {
+		var err error
+		if reply, err = r.conn.Receive(deadline); err != nil || reply.Code != CodeNone {
+			return reply, err
+		}
+	}
+	return reply, nil
+}
+
+// noteRemote keeps what the session needs at another gateway.
+func (s *session) noteRemote(statement *Statement, reply Reply) {
+	s.remote.open = reply.State != StateIdle
+	if !reply.Position.IsZero() {
+		s.state.written = reply.Position
+	}
+	if reply.Code == CodeNone {
+		s.local(statement)
+	}
+}
+
+// repeatable reports whether a statement outside a transaction may run twice.
+func (s *session) repeatable(statement *Statement) bool {
+	switch statement.Kind {
+	case StatementWrite, StatementCommit:
+		return false
+	case StatementExecute:
+		return !s.state.writes(statement)
+	}
+	return true
+}
+
+// gatewayGone reports whether the gateway failed or is no longer listed, since it
+// ended or shuts down. A gateway that shuts down serves on for rotationDelay.
+func (s *session) gatewayGone() bool {
+	return s.remote.broken || !s.proxy.isListed(s.remote.vm)
+}
+
+func (p *Proxy) isListed(vm entity.VM) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, listed := p.proxies.listed[string(vm)]
+	return listed
+}
+
+// leaveGateway moves the session, which has no open transaction, to another gateway
+// or to this proxy. If there is none, the session stays and it reports false.
+func (s *session) leaveGateway() bool {
+	route, ok := s.proxy.route(s.host)
+	if !ok {
+		return false
+	}
+	before := s.remote
+	if s.proxy.database(route.Database).gatewaysFor() == nil {
+		s.remote = nil
+	} else {
+		next := s.handOver(route)
+		if next == nil {
+			return false
+		}
+		if err := next.restore(&s.state); err != nil {
+			s.proxy.events.limited("hand_over_failed", "restore_session", string(next.vm), nil, err)
+			// The gateway has nothing of the session yet.
+			_ = next.conn.Close()
+			return false
+		}
+		s.remote = next
+	}
+	// The old gateway has nothing open for the session.
+	_ = before.conn.Close()
+	return true
+}
+
+// writtenSetting is the session value with which a proxy tells a gateway the end of
+// the log after the session's last write.
+const writtenSetting = "skylarkhinge.written"
+
+// setWritten takes over the position that another proxy tells with writtenSetting.
+func (s *sessionState) setWritten(text string) error {
+	var p entity.Position
+	if _, err := fmt.Sscanf(text, writtenForm, &p.Term, &p.Offset); err != nil {
+		return err
+	}
+	s.written = p
+	return nil
+}
+
+// writtenForm has the term and the offset of a position.
+const writtenForm = "%d.%d"
+
+// restore gives a gateway the state of a session that was elsewhere before.
+func (r *remote) restore(state *sessionState) error {
+	var commands []Command
+	for _, v := range state.values {
+		commands = append(commands, Command{Kind: CommandSet, Name: v.name, Value: v.value})
+	}
+	for name, p := range state.prepared {
+		commands = append(commands, Command{Kind: CommandPrepare, Name: name, Value: p.shape, Writes: p.writes})
+	}
+	if !state.written.IsZero() {
+		commands = append(commands, Command{Kind: CommandSet, Name: writtenSetting, Value: fmt.Sprintf(writtenForm, state.written.Term, state.written.Offset)})
+	}
+	if len(commands) == 0 {
+		return nil
 	}
-	if err == nil {
-		r.open = reply.State == StateOpen
-		return reply, reply.State, false
+	reply, err := r.exchange(time.Now().Add(handOverTimeout), commands...)
+	if err == nil && reply.Code != CodeNone {
+		err = &Refused{Code: reply.Code, Text: reply.Text}
 	}
-	return r.lost(statement, err), StateIdle, true
+	return err
 }
 
 // lost returns the answer to a statement whose gateway failed. A transaction ends
--- a/internal/managed/handover_test.go
+++ b/internal/managed/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,16 +17,21 @@
 // newScarceFleet starts six proxies in three availability zones, of which three
 // are gateways, and waits until all know each other.
 func newScarceFleet(t testing.TB) *fleet {
+	t.Helper()
+	return newScarceFleetOf(t, 6)
+}
+
+func newScarceFleetOf(t testing.TB, proxies int) *fleet {
 	t.Helper()
 	f := newFleet(t, 0)
 	f.connections = scarce
 	f.configure()
-	for i := range 6 {
+	for i := range proxies {
 		f.nodes = append(f.nodes, f.start(i))
 	}
 	waitFor(t, 5*time.Second, "all proxies are listed", func() bool {
 		for _, n := range f.nodes {
-			if len(n.log.find("event=proxies_changed", "proxies=6")) == 0 {
+			if len(n.log.find("event=proxies_changed", fmt.Sprintf("proxies=%d", proxies))) == 0 {
 				return false
 			}
 		}
@@ -89,3 +95,93 @@
 	again := f.nodes[from].open(t, strictDB)
 	assert.DeepEqual(t, again.eventually(3*time.Second, "READ item").rows, []string{"none"})
 }
+
+// handedOver opens sessions until one is served by another proxy. It returns the
+// session, its proxy and the gateway, which is not in the primary's zone.
+func handedOver(t testing.TB, f *fleet, database string) (c *caller, edge, gateway *node) {
+	t.Helper()
+	for _, n := range slices.Backward(f.nodes) {
+		c := n.open(t, database)
+		c.ok("READ item")
+		name := f.runsOf(c)[0].Caller
+		for _, g := range f.nodes {
+			if g != n && g.settings.VM == name && g.settings.AvailabilityZone != "zone-0" {
+				return c, n, g
+			}
+		}
+	}
+	t.Fatal("no session was handed over")
+	return nil, nil, nil
+}
+
+// drainTime is longer than a proxy that shuts down serves as before.
+const drainTime = 4 * time.Second
+
+// Guards against statements that fail since the gateway of their session shuts
+// down, and against a session that loses its values, its prepared statements or
+// its own writes on the way to the next gateway.
+func TestSessionLeavesAGatewayThatDrains(t *testing.T) {
+	f := newScarceFleet(t)
+	c, _, gateway := handedOver(t, f, sessionDB)
+	idle, _, _ := handedOver(t, f, sessionDB)
+	for _, session := range []*caller{c, idle} {
+		session.ok("SET tenant mask")
+		session.ok("PREPARE s1 WRITE shape")
+	}
+	gateway.proxy.Drain()
+	for i, end := 0, time.Now().Add(drainTime); time.Now().Before(end); i++ {
+		value := fmt.Sprintf("v%d", i)
+		c.ok("EXECUTE s1 item " + value)
+		assert.DeepEqual(t, c.ok("READ item").rows, []string{value})
+		time.Sleep(20 * time.Millisecond)
+	}
+	idle.ok("EXECUTE s1 other v")
+	assert.DeepEqual(t, idle.ok("READ other").rows, []string{"v"})
+	for _, session := range []*caller{c, idle} {
+		runs := f.runsOf(session)
+		last := runs[len(runs)-1]
+		assert.Equal(t, last.Settings, "tenant=mask")
+		assert.Assert(t, last.Caller != gateway.settings.VM)
+	}
+}
+
+// Guards against a read of the session's own write that the next gateway serves
+// from a replica without it.
+func TestOwnWritesAreSeenAtTheNextGateway(t *testing.T) {
+	f := newScarceFleetOf(t, 9) // one of two neighbours of the gateway takes its place
+	_, _, gateway := handedOver(t, f, sessionDB)
+	var sessions []*caller
+	for range 6 {
+		for _, n := range f.nodes {
+			c := n.open(t, sessionDB)
+			c.ok("READ item")
+			if n != gateway && f.runsOf(c)[0].Caller == gateway.settings.VM {
+				sessions = append(sessions, c)
+			}
+		}
+	}
+	assert.Assert(t, len(sessions) > 0)
+	for i := range 3 {
+		if m := f.group.Member(i); m != f.group.Leader() {
+			m.SetLag(time.Second)
+		}
+	}
+	for i, c := range sessions {
+		// Every gateway has a position that is recent enough for other sessions.
+		for _, n := range f.nodes {
+			n.open(t, sessionDB).ok("READ item")
+		}
+		c.ok(fmt.Sprintf("WRITE item%d new", i))
+	}
+	gateway.stop()
+	for i, c := range sessions {
+		assert.DeepEqual(t, c.eventually(5*time.Second, fmt.Sprintf("READ item%d", i)).rows, []string{"new"})
+	}
+}
+
+// Guards against a caller that changes what another proxy believes of its session.
+func TestReservedSessionValue(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.nodes[0].open(t, sessionDB)
+	assert.Equal(t, c.query("SET skylarkhinge.written 9.9").code, managed.CodeMalformed)
+}
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -150,11 +150,19 @@
 	var reply Reply
 	var state TransactionState
 	last := false
-	if s.remote != nil {
-		reply, state, last = s.executeRemote(statement)
-	} else {
+	switch {
+	case statement.Kind == StatementSet && statement.Name == writtenSetting && !s.fromPeer:
+		reply, state = failure(CodeMalformed, "name of the session value is reserved"), s.transactionState()
+	case s.remote != nil:
+		reply, state, last = s.executeRemote(statement, arrived)
+	default:
 		reply, state = s.execute(statement, arrived)
 	}
+	reply.Position = entity.Position{}
+	if s.fromPeer {
+		// The other proxy needs it if this one ends.
+		reply.Position = s.state.written
+	}
 	s.report(statement, reply, now().Sub(arrived))
 	if err := s.caller.Answer(reply, state); err != nil || last {
 		return false
@@ -203,6 +211,9 @@
 }
 
 func (s *session) transactionState() TransactionState {
+	if s.remote != nil && s.remote.open {
+		return StateOpen
+	}
 	if s.tx == nil {
 		return StateIdle
 	}
@@ -213,6 +224,12 @@
 func (s *session) local(statement *Statement) Reply {
 	switch statement.Kind {
 	case StatementSet:
+		if s.fromPeer && statement.Name == writtenSetting {
+			if err := s.state.setWritten(statement.Value); err != nil {
+				return failure(CodeMalformed, "position cannot be read")
+			}
+			return Reply{}
+		}
 		if !s.state.set(statement.Name, statement.Value) {
 			return failure(CodeTooLarge, fmt.Sprintf("session has more than %d values", maxSessionValues))
 		}
