--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -213,10 +213,13 @@
 	}
 }
 
-// logPools logs the use of connections and queues, one line for each database.
+// logPools logs the use of connections and queues, one line for each database that
+// this proxy uses. With thousands of databases it uses few.
 func (p *Proxy) logPools() {
 	for _, d := range p.list() {
-		p.events.pool(d.usage())
+		if u := d.usage(); u.open > 0 || u.queued > 0 {
+			p.events.pool(u)
+		}
 	}
 }
 
