Bound the gateways of a database by the slots of its upstreams

Cause: 211 connections let 70 of 86 proxies reach each upstream, which has 5 slots.

Change: at most three gateways for each slot, 12 here. Small fleets and the grown pool have fewer already.

TestGatewaysAreBoundedBySlots failed before.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -33,6 +33,28 @@
 // transaction.
 const MinShare = 3
 
+// maxPerSlot bounds the gateways by the slots of an upstream, whatever its
+// connections. Gateways schedule without knowing of each other: 70 of them before
+// 5 slots filled an overloaded upstream with status calls and new connections, so
+// that it did not recover when the load fell.
+const maxPerSlot = 3
+
+// Limits are those of one upstream of a database.
+type Limits struct {
+	Connections int
+	// Slots is the number of statements that run at once, 0 if it is unknown.
+	Slots int
+}
+
+// gateways returns how many proxies may reach the upstream.
+func (l Limits) gateways() int {
+	most := max(1, l.Connections/MinShare)
+	if l.Slots > 0 {
+		most = min(most, l.Slots*maxPerSlot)
+	}
+	return most
+}
+
 // Weight orders the proxies of a database; the highest come first.
 func Weight(vm entity.VM, database entity.Database) uint64 {
 	return xxhash.Sum64String(string(vm) + " " + string(database))
@@ -41,7 +63,7 @@
 // Choose returns the gateways of a database among the listed proxies, ordered by
 // weight. Each availability zone has a part of them by its number of proxies and
 // at least one, so that sessions stay in their zone.
-func Choose(proxies []Proxy, database entity.Database, connections int) []Proxy {
+func Choose(proxies []Proxy, database entity.Database, limits Limits) []Proxy {
 	ordered := slices.Clone(proxies)
 	slices.SortFunc(ordered, func(a, b Proxy) int {
 		if c := cmp.Compare(Weight(b.VM, database), Weight(a.VM, database)); c != 0 {
@@ -49,7 +71,7 @@
 		}
 		return cmp.Compare(a.VM, b.VM)
 	})
-	most := max(1, connections/MinShare)
+	most := limits.gateways()
 	if len(ordered) <= most {
 		return ordered
 	}
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -24,13 +24,19 @@
 
 // Guards against a small fleet that forwards although every proxy has its share.
 func TestSmallFleetsDoNotForward(t *testing.T) {
-	assert.Equal(t, len(Choose(fleet(9, 3), "orders", 30)), 9)
+	assert.Equal(t, len(Choose(fleet(9, 3), "orders", Limits{Connections: 30})), 9)
+}
+
+// Guards against more gateways than can share the slots of an upstream.
+func TestGatewaysAreBoundedBySlots(t *testing.T) {
+	assert.Equal(t, len(Choose(fleet(86, 6), "orders", Limits{Connections: 207, Slots: 5})), 12)
+	assert.Equal(t, len(Choose(fleet(8, 3), "orders", Limits{Connections: 34, Slots: 3})), 8)
 }
 
 // Guards against 72 proxies that each hold a part of 49 connections, and against
 // an availability zone without a gateway.
 func TestLargeFleetsChooseGatewaysInEachZone(t *testing.T) {
-	gateways := Choose(fleet(72, 6), "orders", 49)
+	gateways := Choose(fleet(72, 6), "orders", Limits{Connections: 49})
 	assert.Equal(t, len(gateways), 12)
 	zones := map[string]int{}
 	for _, g := range gateways {
@@ -47,12 +53,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		proxies := fleet(rapid.IntRange(1, 120).Draw(t, "proxies"), rapid.IntRange(1, 8).Draw(t, "zones"))
 		connections := rapid.IntRange(1, 400).Draw(t, "connections")
-		chosen := Choose(proxies, "orders", connections)
+		chosen := Choose(proxies, "orders", Limits{Connections: connections})
 		if len(chosen) == 0 || len(chosen) > max(8, connections/MinShare) {
 			t.Fatalf("%d gateways of %d proxies for %d connections", len(chosen), len(proxies), connections)
 		}
 		shuffled := rapid.Permutation(proxies).Draw(t, "order")
-		again := Choose(shuffled, "orders", connections)
+		again := Choose(shuffled, "orders", Limits{Connections: connections})
 		for i := range chosen {
 			if chosen[i] != again[i] {
 				t.Fatalf("the choice depends on the order of the list")
@@ -61,7 +67,7 @@
 		gone := rapid.IntRange(0, len(proxies)-1).Draw(t, "gone")
 		rest := append(append([]Proxy(nil), proxies[:gone]...), proxies[gone+1:]...)
 		moved := 0
-		for _, g := range Choose(rest, "orders", connections) {
+		for _, g := range Choose(rest, "orders", Limits{Connections: connections}) {
 			if !Contains(chosen, g.VM) {
 				moved++
 			}
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -326,6 +326,15 @@
 // for statements. The mutex is held.
 func (d *database) usableConnections() int { return max(1, d.limits.Connections-reservedConnections) }
 
+// gatewayLimits returns the limits of the largest member. The mutex is held.
+func (d *database) gatewayLimits() gateway.Limits {
+	limits := gateway.Limits{Connections: d.usableConnections()}
+	for _, m := range d.members {
+		limits.Slots = max(limits.Slots, m.spec.Slots)
+	}
+	return limits
+}
+
 // reservedConnections of each member are left to status calls and takeovers, so
 // that a promotion is possible while every proxy uses its share.
 const reservedConnections = 4
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -88,7 +88,7 @@
 			d.listedSince = at
 		}
 		d.changedSince = at
-		d.applyShare(d.proxy.users(d.name, d.usableConnections()))
+		d.applyShare(d.proxy.users(d.name, d.gatewayLimits()))
 	}
 	changed := !known || m.spec != spec || m.missingSince != 0
 	if m.spec.Address != spec.Address || m.spec.Incarnation != spec.Incarnation {
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -250,9 +250,9 @@
 	sharing, neighbours int
 }
 
-// users returns who reaches a database's upstreams with the given connections
-// each. The mutex is held.
-func (p *Proxy) users(name entity.Database, connections int) usersOf {
+// users returns who reaches a database's upstreams with the given limits. The mutex
+// is held.
+func (p *Proxy) users(name entity.Database, limits gateway.Limits) usersOf {
 	self := p.self()
 	proxies := []gateway.Proxy{self}
 	for _, other := range p.proxies.listed {
@@ -260,7 +260,7 @@
 			proxies = append(proxies, other)
 		}
 	}
-	u := usersOf{gateways: gateway.Choose(proxies, name, connections)}
+	u := usersOf{gateways: gateway.Choose(proxies, name, limits)}
 	u.serves = gateway.Contains(u.gateways, self.VM) || self.Address == ""
 	u.sharing = len(u.gateways)
 	if u.sharing == len(proxies) {
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -149,7 +149,7 @@
 		d.mu.Lock()
 		d.limits = p.document().Databases[name]
 		d.setPolicy(policyOf(p.document()))
-		d.applyShare(p.users(d.name, d.usableConnections()))
+		d.applyShare(p.users(d.name, d.gatewayLimits()))
 		d.mu.Unlock()
 		go d.monitor.run(p.ctx)
 	}
@@ -353,7 +353,7 @@
 		d.mu.Lock()
 		d.limits = doc.Databases[name]
 		d.setPolicy(policy)
-		d.applyShare(p.users(d.name, d.usableConnections()))
+		d.applyShare(p.users(d.name, d.gatewayLimits()))
 		d.mu.Unlock()
 	}
 }
@@ -362,7 +362,7 @@
 func (p *Proxy) applyShares() {
 	for _, d := range p.databases {
 		d.mu.Lock()
-		d.applyShare(p.users(d.name, d.usableConnections()))
+		d.applyShare(p.users(d.name, d.gatewayLimits()))
 		d.mu.Unlock()
 	}
 }
