Bound urgent statements in flight by the slots of an upstream

Cause: urgent statements could use every connection of a gateway, 17 each for 12 gateways before 5 slots. The queue at the upstream outlasted the probes of the primary (read: i/o timeout, 282 primary_missed), which was then replaced although it worked, three times for one database, and its load never fell again.

Change: at most six urgent statements in flight for each slot, all proxies together.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -179,22 +179,30 @@
 
 // queueFactor is the number of statements in flight at a member for each of its
 // slots, those of all proxies together. Up to two keep its slots busy across the
-// round trip; more only wait in its queue, which knows no ranks.
-const queueFactor = 2
+// round trip; more only wait in its queue, which knows no ranks. Urgent work may
+// pass what waits there, but beyond urgentFactor the queue outlasts the probes of
+// the primary, which then counts as lost.
+const (
+	queueFactor  = 2
+	urgentFactor = 6
+)
 
-// room returns how many statements this proxy may have in flight at a member.
-// Urgent work may use every connection. The mutex is held.
+// room returns how many statements this proxy may have in flight at a member. The
+// mutex is held.
 func (d *database) room(m *member) int {
 	if d.scheduler.Queued(0) > 0 {
-		return d.share
+		return min(d.share, partOf(urgentFactor*m.spec.Slots, d.proxies))
 	}
 	sharing := d.proxies
 	if m != d.leader && m.distance == placement.SameZone {
 		sharing = d.neighbours
 	}
-	return max(1, (queueFactor*m.spec.Slots+sharing-1)/sharing)
+	return partOf(queueFactor*m.spec.Slots, sharing)
 }
 
+// partOf returns the part of one of several, rounded up and at least 1.
+func partOf(total, several int) int { return max(1, (total+several-1)/several) }
+
 // accepts reports whether a member may get new work. A leaving primary serves on
 // until its successor leads, but not past its time. The mutex is held.
 func (d *database) accepts(m *member, at entity.Time) bool {
