Avoid gateways that failed a moment ago

Cause: each session learned for itself that a gateway did not answer, and waited for it with a statement or, when handed over, 500 ms for each of three gateways.

Change: a gateway that failed for one session is asked last for 3 s, and sessions at it move before their next statement.

TestSessionsAvoidAGatewayThatFailed failed before (timeout).

--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -41,7 +42,7 @@
 	if gateways == nil {
 		return nil
 	}
-	ordered := gateway.Nearest(gateways, s.proxy.self(), uint64(now()))
+	ordered := s.proxy.suspects.last(gateway.Nearest(gateways, s.proxy.self(), uint64(now())))
 	for _, g := range ordered[:min(handOverTries, len(ordered))] {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.host), Address: g.Address})
@@ -49,6 +50,7 @@
 		if err == nil {
 			return &remote{conn: conn, vm: g.VM}
 		}
+		s.proxy.suspects.add(g.VM)
 		s.proxy.events.limited("hand_over_failed", "hand_over", string(g.VM), nil, err)
 	}
 	return nil
@@ -72,6 +74,7 @@
 			return reply, reply.State, false
 		}
 		r.broken = true
+		s.proxy.suspects.add(r.vm)
 		repeat := !moved && !r.open && s.repeatable(statement) && time.Now().Before(deadline)
 		if !repeat || !s.leaveGateway() {
 			return r.lost(statement, err), StateIdle, r.open
@@ -128,10 +131,55 @@
 	return true
 }
 
-// gatewayGone reports whether the gateway failed or is no longer listed, since it
-// ended or shuts down. A gateway that shuts down serves on for rotationDelay.
+// gatewayGone reports whether the gateway failed, for this session or another one,
+// or is no longer listed, since it ended or shuts down. A gateway that shuts down
+// serves on for rotationDelay.
 func (s *session) gatewayGone() bool {
-	return s.remote.broken || !s.proxy.isListed(s.remote.vm)
+	return s.remote.broken || s.proxy.suspects.has(s.remote.vm) || !s.proxy.isListed(s.remote.vm)
+}
+
+// suspectTime is how long a gateway is avoided after a failure, so that each session
+// does not wait for it in turn. It is longer than handOverTries dials.
+const suspectTime = 3 * time.Second
+
+// suspectedGateways are the gateways that failed a moment ago. It is safe for
+// concurrent use.
+type suspectedGateways struct {
+	mu    sync.Mutex
+	until map[entity.VM]entity.Time
+}
+
+func (g *suspectedGateways) add(vm entity.VM) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.until == nil {
+		g.until = map[entity.VM]entity.Time{}
+	}
+	g.until[vm] = now().Add(suspectTime)
+}
+
+func (g *suspectedGateways) has(vm entity.VM) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until, known := g.until[vm]
+	if known && now() >= until {
+		delete(g.until, vm)
+		return false
+	}
+	return known
+}
+
+// last moves the suspected gateways to the end.
+func (g *suspectedGateways) last(gateways []gateway.Proxy) []gateway.Proxy {
+	var suspected, others []gateway.Proxy
+	for _, p := range gateways {
+		if g.has(p.VM) {
+			suspected = append(suspected, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return append(others, suspected...)
 }
 
 func (p *Proxy) isListed(vm entity.VM) bool {
--- a/internal/managed/handover_test.go
+++ b/internal/managed/handover_test.go
@@ -179,6 +179,30 @@
 	}
 }
 
+// Guards against sessions that each wait for the same gateway that does not answer,
+// in their statements or while they are handed over.
+func TestSessionsAvoidAGatewayThatFailed(t *testing.T) {
+	f := newScarceFleetOf(t, 9)
+	c, edge, gateway := handedOver(t, f, sessionDB)
+	var others []*caller
+	for range 4 {
+		other := edge.open(t, sessionDB)
+		other.ok("READ item")
+		others = append(others, other)
+	}
+	gateway.frozen.Store(true)
+	defer gateway.frozen.Store(false)
+	c.query("READ item") // waits for the gateway
+	for range 4 {
+		others = append(others, edge.open(t, sessionDB))
+	}
+	for _, other := range others {
+		began := time.Now()
+		other.ok("READ item")
+		assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+	}
+}
+
 // Guards against a caller that changes what another proxy believes of its session.
 func TestReservedSessionValue(t *testing.T) {
 	f := newFleet(t, 1)
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -72,6 +72,8 @@
 	settings config.ManagedSettings
 	address  string
 	log      *lineLog
+	// frozen makes the proxy read nothing from its callers and from other proxies.
+	frozen atomic.Bool
 	// deaf makes the proxy leave questions of other proxies unanswered.
 	deaf atomic.Bool
 	done chan error
@@ -177,7 +179,21 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns = append(n.conns, conn)
-	return platform.NewCaller(conn)
+	return platform.NewCaller(&freezingConn{conn, &n.frozen})
+}
+
+// freezingConn holds what it has read back while its proxy is frozen.
+type freezingConn struct {
+	net.Conn
+	frozen *atomic.Bool
+}
+
+func (c *freezingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	for c.frozen.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return n, err
 }
 
 func (f *fleet) close() {
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -46,7 +46,8 @@
 	// effective are the settings in effect; see Reload.
 	effective atomic.Pointer[config.ManagedSettings]
 
-	current atomic.Pointer[Document]
+	current  atomic.Pointer[Document]
+	suspects suspectedGateways
 	// watched has the changes that this proxy serves to others.
 	watched *watchLog
 	// configured is closed once the first configuration is in force.
