Judge transactions in the random failures of gateways

What a transaction's end promised was not compared with what its write did, so that a commit told as rolled back was not found.

--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -1,9 +1,11 @@
 package managed_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -210,19 +212,28 @@
 	}
 }
 
+// writeInTransaction returns the end of the transaction. What it promises holds for
+// the write.
 func (w *randomWorld) writeInTransaction(c *client, text string) (result, bool) {
-	for _, statement := range []string{"BEGIN", text} {
-		r, ended := c.query(statement)
-		if ended {
-			return r, true
-		}
-		if r.code != managed.CodeNone {
-			// The transaction's end is what counts; it rolls back.
-			_, ended = c.query("ROLLBACK")
-			return r, ended
-		}
+	if r, ended := c.query("BEGIN"); ended || r.code != managed.CodeNone {
+		return w.rollBack(c, r, ended)
+	}
+	write, ended := c.query(text)
+	if ended || write.code != managed.CodeNone {
+		w.note(write)
+		return w.rollBack(c, write, ended)
+	}
+	commit, ended := c.query("COMMIT")
+	w.note(result{id: write.id, code: commit.code})
+	return commit, ended
+}
+
+// rollBack ends a transaction after a statement that failed.
+func (w *randomWorld) rollBack(c *client, r result, ended bool) (result, bool) {
+	if !ended {
+		_, ended = c.query("ROLLBACK")
 	}
-	return c.query("COMMIT")
+	return r, ended
 }
 
 // checkOwn reads the session's own write.
@@ -235,6 +246,25 @@
 	}
 }
 
+// commitsOf lists the newest commits of an item in the order of the log.
+func (w *randomWorld) commitsOf(item string) string {
+	const newest = 5
+	var commits []standin.Run
+	for _, r := range w.group.Runs() {
+		if r.Committed && strings.HasPrefix(r.Text, "WRITE "+item+" ") {
+			commits = append(commits, r)
+		}
+	}
+	slices.SortStableFunc(commits, func(a, b standin.Run) int {
+		return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Number, b.Number))
+	})
+	var out strings.Builder
+	for _, r := range commits[max(0, len(commits)-newest):] {
+		fmt.Fprintf(&out, "%s by %s at %d.%d; ", r.Text, r.ID, r.Term, r.Number)
+	}
+	return out.String()
+}
+
 func valueOf(r result) int64 {
 	if len(r.rows) != 1 || r.rows[0] == "none" {
 		return 0
@@ -258,7 +288,7 @@
 		if r.code == managed.CodeNone {
 			w.served.Add(1)
 			if got := valueOf(r); got < must {
-				w.t.Errorf("%s reader reads %s=%d, acknowledged %v ago was %d (%s)", database, item, got, age, must, r.id)
+				w.t.Errorf("%s reader reads %s=%d, acknowledged %v ago was %d (%s); %s", database, item, got, age, must, r.id, w.commitsOf(item))
 			}
 		}
 		time.Sleep(time.Duration(random.IntN(12)) * time.Millisecond)
@@ -272,7 +302,7 @@
 		pause := time.Duration(50+w.random.IntN(900)) * time.Millisecond
 		kinds := 10
 		if w.stopsProxies {
-			kinds = 12
+			kinds = 16
 		}
 		kind := w.random.IntN(kinds)
 		w.faults = append(w.faults, fmt.Sprintf("%d:%s:%s", kind, m.ID, pause))
@@ -310,7 +340,7 @@
 			m.SetLag(0)
 		case 9:
 			w.crashBehindDeafReplica(m, pause)
-		case 10, 11:
+		case 10, 11, 12, 13, 14, 15:
 			w.restart(w.random.IntN(len(w.nodes)), pause)
 		}
 		time.Sleep(time.Duration(w.random.IntN(300)) * time.Millisecond)
@@ -389,6 +419,10 @@
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			w := newRandomWorld(newScarceFleet(t), seed)
 			w.stopsProxies = true
+			for i := range 3 {
+				// A proxy that stops then has statements under way.
+				w.group.Member(i).SetWork(15 * time.Millisecond)
+			}
 			w.play(seed)
 			assert.Assert(t, w.handedOver() > 0, "no session was handed over")
 		})
