Send nothing to a gateway whose answer is missing

Cause: a session whose gateway had not answered in time, and for which no other gateway could be reached, sent its next statement over the same connection and took the late answer of the earlier statement for it.

Change: such a statement is refused as not run; the session looks for a gateway again with the next one.

TestLateAnswerOfAGateway failed before: the row of the earlier read.

--- a/internal/managed/handover_test.go
+++ b/internal/managed/handover_test.go
@@ -114,6 +114,9 @@
 	return nil, nil, nil
 }
 
+// moveTime is how long a session looks for another gateway if none answers.
+const moveTime = 1500 * time.Millisecond
+
 // drainTime is longer than a proxy that shuts down serves as before.
 const drainTime = 4 * time.Second
 
@@ -203,6 +206,33 @@
 	}
 }
 
+// Guards against a statement that is sent over a connection on which an earlier
+// answer is missing: the late answer would be taken for its own.
+func TestLateAnswerOfAGateway(t *testing.T) {
+	f := newScarceFleet(t)
+	c, edge, _ := handedOver(t, f, strictDB)
+	c.ok("WRITE item early")
+	c.ok("WRITE other late")
+	freeze := func(frozen bool) {
+		for _, n := range f.nodes {
+			if n != edge {
+				n.frozen.Store(frozen)
+			}
+		}
+	}
+	freeze(true)
+	defer freeze(false)
+	assert.Equal(t, c.query("READ item").code, managed.CodeTimeout)
+	time.AfterFunc(moveTime+200*time.Millisecond, func() { freeze(false) })
+	for range 20 {
+		if r := c.query("READ other"); r.code == managed.CodeNone {
+			assert.DeepEqual(t, r.rows, []string{"late"})
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.DeepEqual(t, c.eventually(5*time.Second, "READ other").rows, []string{"late"})
+}
+
 // Guards against a caller that changes what another proxy believes of its session.
 func TestReservedSessionValue(t *testing.T) {
 	f := newFleet(t, 1)
--- a/internal/managed/remote.go
+++ b/internal/managed/remote.go
@@ -14,15 +14,17 @@
 	vm   entity.VM
 	// open is set while the caller has a transaction open or failed.
 	open bool
-	// broken is set once the gateway did not answer.
+	// broken is set once the gateway did not answer. Nothing is sent to it then.
 	broken bool
 }
 
 // executeRemote passes a statement to the gateway. last is set if the session
 // cannot go on, since its transaction was lost with the gateway.
 func (s *session) executeRemote(statement *Statement, arrived entity.Time) (reply Reply, state TransactionState, last bool) {
-	if !s.remote.open && s.gatewayGone() {
-		s.leaveGateway()
+	if !s.remote.open && s.gatewayGone() && !s.leaveGateway() && s.remote.broken {
+		// An answer may still come on the old connection, which the next statement
+		// would take for its own.
+		return failure(CodeBusy, "not run: no gateway can be reached"), StateIdle, false
 	}
 	defer since(&s.stages.run, now())
 	deadline := s.remoteDeadline()
