--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -246,7 +246,8 @@
 	}
 }
 
-// commitsOf lists the newest commits of an item in the order of the log.
+// commitsOf lists the newest commits of an item in the order of the log, with what
+// their writers were told.
 func (w *randomWorld) commitsOf(item string) string {
 	const newest = 5
 	var commits []standin.Run
@@ -258,9 +259,15 @@
 	slices.SortStableFunc(commits, func(a, b standin.Run) int {
 		return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Number, b.Number))
 	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	codes := map[string]managed.Code{}
+	for _, o := range w.outcomes {
+		codes[o.id] = o.code
+	}
 	var out strings.Builder
 	for _, r := range commits[max(0, len(commits)-newest):] {
-		fmt.Fprintf(&out, "%s by %s at %d.%d; ", r.Text, r.ID, r.Term, r.Number)
+		fmt.Fprintf(&out, "%s by %s at %d.%d, answered with %s; ", r.Text, r.ID, r.Term, r.Number, codes[r.ID])
 	}
 	return out.String()
 }
