--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -20,7 +20,7 @@
 const ChangesPath = "/changes"
 
 const (
-	// sharedWait is how long a watcher holds a question without changes, and
+	// sharedWait is how long a watcher holds a poll without changes, and
 	// sharedSlack how much later its answer may come. A watcher that stops is
 	// noticed within their sum, well within the time in which a configuration
 	// takes force.
--- a/internal/managed/sharedwatch_test.go
+++ b/internal/managed/sharedwatch_test.go
@@ -17,8 +17,8 @@
 	watchingOnes   = 6
 	// documentLimit is the time in which a configuration takes force.
 	documentLimit = 3 * time.Second
-	// questionTime is longer than a watcher holds a question.
-	questionTime = 1600 * time.Millisecond
+	// pollTime is longer than a watcher holds a poll.
+	pollTime = 1600 * time.Millisecond
 )
 
 // newSharingFleet returns a fleet whose proxies share their watches, once all do.
@@ -105,8 +105,8 @@
 	f := newSharingFleet(t)
 	watcher := f.followed()
 	watcher.deaf.Store(true)
-	// The questions that wait at the watcher would still get the change.
-	time.Sleep(questionTime)
+	// The polls that wait at the watcher would still get the change.
+	time.Sleep(pollTime)
 	var others []*node
 	for _, n := range f.nodes {
 		if n != watcher {
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -45,7 +45,7 @@
 	l.wake()
 }
 
-// wake ends the waits of questions. The mutex is held.
+// wake wakes the polls that wait. The mutex is held.
 func (l *watchLog) wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/internal/managed/watchlog_test.go
+++ b/internal/managed/watchlog_test.go
@@ -55,7 +55,7 @@
 }
 
 // Guards against a watcher that speaks for the store although it lost it or follows
-// another proxy itself, and a question that does not notice either while it waits.
+// another proxy itself, and a poll that does not notice either while it waits.
 func TestWatchLogEnds(t *testing.T) {
 	l := newWatchLog()
 	l.append(1, 2, changesAt(2))
@@ -76,7 +76,7 @@
 	assert.Assert(t, errors.Is(<-ended, errNotWatching))
 }
 
-// Guards against a question that is answered only when its time is over.
+// Guards against a poll that is answered only when its time is over.
 func TestWatchLogWakes(t *testing.T) {
 	l := newWatchLog()
 	l.append(1, 2, changesAt(2))
