End a takeover when another member than the one to replace leads

Cause: a takeover treated whichever member was the believed primary at each step as the lost one and did not query it. If the takeover began while no primary was known and the listed primary became the believed one meanwhile, it counted as lost and was replaced. A switchover went on against a primary that another proxy had promoted meanwhile.

Change: a takeover keeps the primary that it replaces. All other members are queried, and one that leads in the known term ends the takeover; pauses that it set are lifted.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -45,7 +45,8 @@
 
 // View is the state of a group during a takeover.
 type View struct {
-	// Leader is the primary to replace, Term its term.
+	// Leader is the primary to replace, empty if none was known when the takeover
+	// began. Term is the newest term known.
 	Leader entity.Upstream
 	Term   uint64
 	// LeaderHealthy is set if the leader answers as the primary and still replicates.
@@ -68,7 +69,8 @@
 	StepPause
 	// StepPromote orders the promotion of Decision.Target.
 	StepPromote
-	// StepDone ends the takeover, since Decision.Target already leads in a newer term.
+	// StepDone ends the takeover, since Decision.Target leads, which is not the primary
+	// to replace.
 	StepDone
 )
 
@@ -98,8 +100,8 @@
 	newest := v.Term
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Reached && m.Primary && m.Term > v.Term {
-			return Decision{Step: StepDone, Target: m.Name, Reason: "a newer primary leads"}
+		if m.Reached && m.Primary && (m.Term > v.Term || m.Term == v.Term && m.Name != v.Leader) {
+			return Decision{Step: StepDone, Target: m.Name, Reason: "another primary leads"}
 		}
 		newest = max(newest, m.Term, m.PauseTerm)
 	}
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -35,6 +35,9 @@
 	leaving.Leaving = true
 	newer := Member{Name: "b", Reached: true, Primary: true, Term: 2}
 	incomplete := lost(replica("a", 10, 2))
+	found := lost(replica("a", 10, 2), replica("b", 10, 2))
+	found.Leader = ""
+	found.Members[0] = Member{Name: "p", Reached: true, Primary: true, Term: 1}
 	waited := incomplete
 	waited.IncompleteFor = maxIncompleteWait
 	for _, c := range []struct {
@@ -59,7 +62,11 @@
 		{"the missing replica does not return in time", waited,
 			Decision{Step: StepPromote, Target: "a", Reason: "primary is lost"}},
 		{"another primary leads already", lost(replica("a", 10, 0), newer),
-			Decision{Step: StepDone, Target: "b", Reason: "a newer primary leads"}},
+			Decision{Step: StepDone, Target: "b", Reason: "another primary leads"}},
+		{"the listed primary is back after none was known", found,
+			Decision{Step: StepDone, Target: "p", Reason: "another primary leads"}},
+		{"a primary that another proxy promoted meanwhile is not replaced", healthy(replica("a", 12, 0), Member{Name: "b", Reached: true, Primary: true, Term: 1}),
+			Decision{Step: StepDone, Target: "b", Reason: "another primary leads"}},
 		{"all but the successor are paused while the primary is healthy", healthy(replica("a", 12, 0), replica("b", 10, 0)),
 			Decision{Step: StepPause, Pause: []entity.Upstream{"b"}, Term: 2, Reason: "successor is a"}},
 		{"the successor catches up with a paused replica", healthy(replica("a", 9, 0), replica("b", 10, 2)),
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,6 +38,9 @@
 		return
 	}
 	t := &takeoverRun{monitor: mon, db: d, claim: c, planned: planned, startedAt: now()}
+	d.mu.Lock()
+	t.replaced = d.primary
+	d.mu.Unlock()
 	d.proxy.events.takeoverBegan(d.name, reason, c.fence)
 	t.run()
 	mon.misses = 0
@@ -72,7 +76,10 @@
 	monitor *monitor
 	db      *database
 	claim   *claim
-	// planned is set while the current primary is healthy and is being replaced.
+	// replaced is the primary to replace, nil if none was known. A primary that becomes
+	// known during the takeover ends it, unless that one does not answer either.
+	replaced *member
+	// planned is set while replaced is healthy.
 	planned   bool
 	startedAt entity.Time
 	renewedAt entity.Time
@@ -102,6 +109,7 @@
 			t.pause(reports, decision)
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
+			t.liftPauses()
 			t.claim.release()
 			return
 		case takeover.StepPromote:
@@ -122,10 +130,7 @@
 	if t.planned {
 		return members
 	}
-	t.db.mu.Lock()
-	primary := t.db.primary
-	t.db.mu.Unlock()
-	return slices.DeleteFunc(members, func(m *member) bool { return m == primary })
+	return slices.DeleteFunc(members, func(m *member) bool { return m == t.replaced })
 }
 
 // renewClaim renews the claim if due. It reports false if the claim may have expired.
@@ -150,11 +155,8 @@
 		Expected:      groupSize,
 		IncompleteFor: now().Sub(d.membersChangedAt),
 	}
-	if d.primary != nil {
-		v.Leader = d.primary.name
-	}
-	if d.primary != nil && !t.planned {
-		v.Members = append(v.Members, takeover.Member{Name: v.Leader})
+	if t.replaced != nil && !t.planned {
+		v.Members = append(v.Members, takeover.Member{Name: t.replaced.name})
 	}
 	for i := range reports {
 		r := &reports[i]
@@ -162,13 +164,20 @@
 			Name: r.entry.Name, Reached: r.err == nil, Primary: r.status.Primary, Term: r.status.Term,
 			PauseTerm: r.status.PauseTerm, Received: r.status.Received, Leaving: r.member.leavingSince != 0,
 		}
-		if r.member == d.primary {
-			v.LeaderHealthy = t.planned && m.Reached && m.Primary
+		switch {
+		case r.member == t.replaced:
+			v.LeaderHealthy = m.Reached && m.Primary
 			// A primary that does not answer is considered lost and is not queried again.
-			t.planned = t.planned && m.Reached
+			t.planned = m.Reached
+		case r.member == d.primary && !m.Reached:
+			t.replaced, t.planned = r.member, false
+			v.LeaderHealthy = false
 		}
 		v.Members = append(v.Members, m)
 	}
+	if t.replaced != nil {
+		v.Leader = t.replaced.name
+	}
 	return v
 }
 
@@ -252,20 +261,25 @@
 	return false
 }
 
+// liftPauses resumes the members that this takeover paused, unless a promotion is pending.
+func (t *takeoverRun) liftPauses() {
+	if len(t.paused) == 0 || t.promotionPending {
+		return
+	}
+	members := slices.Collect(maps.Values(t.paused))
+	for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
+		if r.err != nil {
+			t.db.proxy.events.memberFailed(t.db.name, r.entry.Name, "resume", r.err)
+		}
+	}
+}
+
 // giveUp ends a takeover without a promotion. Members stay paused if the primary is lost or
 // a promotion is pending; the next takeover continues from there.
 func (t *takeoverRun) giveUp() {
 	t.db.proxy.events.takeoverGivenUp(t.db.name, t.claim.fence)
-	if t.planned && !t.promotionPending {
-		members := make([]*member, 0, len(t.paused))
-		for _, m := range t.paused {
-			members = append(members, m)
-		}
-		for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
-			if r.err != nil {
-				t.db.proxy.events.memberFailed(t.db.name, r.entry.Name, "resume", r.err)
-			}
-		}
+	if t.planned {
+		t.liftPauses()
 	}
 	t.claim.release()
 }
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -237,6 +237,31 @@
 	assert.Equal(t, len(f.store.Promotions()), 0)
 }
 
+// Guards against a takeover that was begun while no primary was known and replaces the
+// listed primary when its entry is back. The replicas must not stay paused either.
+func TestTakeoverEndsWhenThePrimaryIsBack(t *testing.T) {
+	f := newFleet(t, 0)
+	f.group.Member(0).SetListed(false)
+	f.group.Member(2).SetListed(false)
+	for i := range 3 {
+		f.store.RemoveEntry(f.group.Member(i).ID)
+	}
+	f.nodes = append(f.nodes, f.start(0))
+	log := f.nodes[0].log
+	waitFor(t, failoverLimit, "a takeover", func() bool { return len(log.find("event=takeover_began")) > 0 })
+	f.group.Member(0).SetListed(true)
+	f.group.Member(2).SetListed(true)
+	waitFor(t, failoverLimit, "the end of the takeover", func() bool {
+		return len(log.find("event=takeover_step", "decision=done")) > 0 || len(f.store.Promotions()) > 0
+	})
+	f.nodes[0].open(t, strictDB).eventually(3*time.Second, "WRITE item x")
+	for _, p := range f.store.Promotions() {
+		assert.Equal(t, strings.Fields(p)[1], f.group.Member(0).ID, "%s", p)
+	}
+	assert.Equal(t, f.group.Primary(), f.group.Member(0))
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+}
+
 // Guards against a proxy that repeats a promotion with a fencing token that the platform
 // refused.
 func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
