Tie forwarded requests and transactions to the stream that they came on

Cause: when an owner learned that an inbound stream of a peer had ended, it cancelled all requests of that peer and rolled back its transactions, also those that had come on a newer stream meanwhile. TestPeerStreamBreaksWithinAResult got 57014 'canceling statement due to user request' for a request that nobody cancelled.

Change: inbound streams are numbered, Arrival and PeerDown carry the number, and the end of a stream ends only its own requests and transactions.

Result: TestEndOfAnEarlierStream orders the two events itself and failed before.

--- a/core/api.go
+++ b/core/api.go
@@ -86,8 +86,11 @@
 	Handle entity.Handle `json:"handle"`
 	// ForwardedBy is the proxy that forwarded the request; empty if the caller is
 	// connected to this node.
-	ForwardedBy entity.VM       `json:"from,omitempty"`
-	Caller      entity.CallerID `json:"caller"`
+	ForwardedBy entity.VM `json:"from,omitempty"`
+	// Stream is the inbound stream of ForwardedBy on which the request came. Numbers
+	// are not reused while the node runs.
+	Stream uint64          `json:"stream,omitempty"`
+	Caller entity.CallerID `json:"caller"`
 	// Database, User and Class are as declared by the caller. If Class is empty,
 	// the class is determined by the user.
 	Database entity.Database   `json:"database"`
@@ -200,6 +203,9 @@
 	// Inbound is set for the stream on which the peer forwards requests to this
 	// node. The transactions of the peer's callers are then rolled back.
 	Inbound bool `json:"inbound,omitempty"`
+	// Stream is the number of the inbound stream. The peer may have sent requests on
+	// a newer one before this event.
+	Stream uint64 `json:"stream,omitempty"`
 }
 
 // GroupProbeAnswer is a probe answer for a database.
--- a/core/connections.go
+++ b/core/connections.go
@@ -34,12 +34,12 @@
 	lastUsed entity.Time
 	// request is the one whose batch runs, or nil.
 	request *request
-	// caller and forwardedBy are those of the open transaction, if any. term and
-	// lane are those of its first dispatch.
-	caller      entity.CallerID
-	forwardedBy entity.VM
-	term        uint64
-	lane        flood.Lane
+	// caller is that of the open transaction, if any, and inbound the stream on which
+	// its latest statement came. term and lane are those of its first dispatch.
+	caller  entity.CallerID
+	inbound streamKey
+	term    uint64
+	lane    flood.Lane
 	// stalled is set while the connection runs a batch that no longer counts
 	// toward upstream.inFlight, since it did not respond in time.
 	stalled bool
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -275,7 +275,7 @@
 	c.request = nil
 	c.lastUsed = n.now
 	c.caller = r.arrival.Caller
-	c.forwardedBy = r.arrival.ForwardedBy
+	c.inbound = r.arrival.inboundStream()
 	c.term = r.term
 	c.lane = r.item.Lane
 	if old, ok := n.transactions[c.caller]; ok && old.conn != c {
@@ -295,7 +295,7 @@
 // releaseConnection makes a busy connection available again.
 func (n *Node) releaseConnection(c *connection) {
 	n.freeSlot(c)
-	c.caller, c.forwardedBy = 0, ""
+	c.caller, c.inbound = 0, streamKey{}
 	n.markIdle(c)
 }
 
--- a/core/node_test.go
+++ b/core/node_test.go
@@ -206,3 +206,30 @@
 		assert.Equal(t, out.Results[0].Kind == ResultUnknown, pause > time.Second)
 	}
 }
+
+// Guards against a peer's new stream that loses its requests and transactions when the
+// end of an earlier stream is noticed late.
+func TestEndOfAnEarlierStream(t *testing.T) {
+	for _, ended := range []uint64{1, 2} {
+		h := newHarness(1)
+		h.runRequests(100, 10, 1, 10)
+		h.runIdle(5)
+		forward := func(session int, transaction uint64) {
+			h.addArrival(0, session)
+			a := &h.in.Arrivals[0]
+			a.Class, a.ForwardedBy, a.Stream, a.Transaction = "order", "p2", 2, transaction
+			h.tick(time.Millisecond)
+		}
+		forward(1, 1)
+		h.in.Completions[0].InTransaction = true
+		h.tick(time.Millisecond)
+		assert.Equal(t, h.node.Snapshot().Transactions, 1)
+		h.dropCompletions = true
+		forward(2, 0)
+
+		h.in.PeersDown = []PeerDown{{Peer: "p2", Inbound: true, Stream: ended}}
+		h.tick(time.Millisecond)
+		assert.Equal(t, len(h.node.out.Cancels) > 0, ended == 2)
+		assert.Equal(t, h.node.Snapshot().Transactions == 0, ended == 2)
+	}
+}
--- a/core/route.go
+++ b/core/route.go
@@ -242,7 +242,7 @@
 		n.abortTransaction(caller)
 	}
 	if p.Inbound {
-		n.cancelForwardedBy(p.Peer)
+		n.cancelForwarded(streamKey{p.Peer, p.Stream})
 	}
 }
 
@@ -250,8 +250,9 @@
 // sorted.
 func (n *Node) transactionCallers(p PeerDown) []entity.CallerID {
 	var callers []entity.CallerID
+	stream := streamKey{p.Peer, p.Stream}
 	for caller, tx := range n.transactions {
-		inbound := tx.conn != nil && tx.conn.forwardedBy == p.Peer
+		inbound := tx.conn != nil && tx.conn.inbound == stream
 		outbound := tx.conn == nil && tx.peer == p.Peer
 		if (p.Inbound && inbound) || (!p.Inbound && outbound) {
 			callers = append(callers, caller)
@@ -261,11 +262,20 @@
 	return callers
 }
 
-// cancelForwardedBy cancels the requests that a peer forwarded to this node.
-func (n *Node) cancelForwardedBy(peer entity.VM) {
+// streamKey identifies an inbound stream.
+type streamKey struct {
+	peer   entity.VM
+	stream uint64
+}
+
+// inboundStream returns the stream on which a forwarded request came.
+func (a *Arrival) inboundStream() streamKey { return streamKey{a.ForwardedBy, a.Stream} }
+
+// cancelForwarded cancels the requests that came on an inbound stream.
+func (n *Node) cancelForwarded(stream streamKey) {
 	var handles []entity.Handle
 	for h, r := range n.requests {
-		if r.arrival.ForwardedBy == peer {
+		if r.arrival.inboundStream() == stream {
 			handles = append(handles, h)
 		}
 	}
--- a/internal/proxy/peerserver.go
+++ b/internal/proxy/peerserver.go
@@ -26,6 +26,8 @@
 type inboundStream struct {
 	proxy *Proxy
 	peer  entity.VM
+	// number tells this stream from earlier ones of the peer.
+	number uint64
 
 	mu    sync.Mutex
 	cond  *sync.Cond
@@ -45,7 +47,12 @@
 	if first.GetVm() == "" {
 		return status.Error(codes.InvalidArgument, "the first message must name the VM")
 	}
-	in := &inboundStream{proxy: s.proxy, peer: entity.VM(first.GetVm()), requests: map[uint64]*inflightRequest{}}
+	in := &inboundStream{
+		proxy:    s.proxy,
+		peer:     entity.VM(first.GetVm()),
+		number:   s.proxy.inboundStreams.Add(1),
+		requests: map[uint64]*inflightRequest{},
+	}
 	in.cond = sync.NewCond(&in.mu)
 	go in.sendLoop(stream)
 	defer in.close()
@@ -101,7 +108,7 @@
 	s.mu.Unlock()
 	p.inflight.add(r)
 	arrival := newArrival(r)
-	arrival.ForwardedBy = s.peer
+	arrival.ForwardedBy, arrival.Stream = s.peer, s.number
 	p.post(func(in *core.Inputs) { in.Arrivals = append(in.Arrivals, arrival) })
 }
 
@@ -231,7 +238,7 @@
 		r.credit.close()
 	}
 	s.proxy.post(func(in *core.Inputs) {
-		in.PeersDown = append(in.PeersDown, core.PeerDown{Peer: s.peer, Inbound: true})
+		in.PeersDown = append(in.PeersDown, core.PeerDown{Peer: s.peer, Inbound: true, Stream: s.number})
 	})
 }
 
--- a/internal/proxy/runtime.go
+++ b/internal/proxy/runtime.go
@@ -64,7 +64,9 @@
 	wake  chan struct{}
 
 	nextHandle atomic.Uint64
-	nextCaller atomic.Uint64
+	// inboundStreams counts the streams that peers opened to this proxy.
+	inboundStreams atomic.Uint64
+	nextCaller     atomic.Uint64
 	// nextTransaction starts at the incarnation, so that a late message of an
 	// earlier process of this VM does not match a transaction of this one.
 	nextTransaction  atomic.Uint64
