Compute the weight of each proxy once for a choice of gateways

Cause: the choice sorts all proxies with two hashes a comparison, for each database, after each change of the list of proxies: about 100,000 hashes with 295 proxies and 20 databases.

Change: weights are computed once for each proxy; watchers share the function.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -68,13 +68,7 @@
 // number of proxies and at least one, so that sessions stay in their zone. The total
 // may therefore exceed the maximum if there are many zones.
 func Choose(proxies []Proxy, database entity.Database, limits Limits) []Proxy {
-	ordered := slices.Clone(proxies)
-	slices.SortFunc(ordered, func(a, b Proxy) int {
-		if c := cmp.Compare(Weight(b.VM, database), Weight(a.VM, database)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.VM, b.VM)
-	})
+	ordered := orderByWeight(proxies, func(vm entity.VM) uint64 { return Weight(vm, database) })
 	limit := limits.maxGateways()
 	if len(ordered) <= limit {
 		return ordered
@@ -95,6 +89,30 @@
 	return chosen
 }
 
+// orderByWeight returns the proxies with the highest weight first. It computes each weight
+// once: a list change of a large fleet orders all proxies for each database.
+func orderByWeight(proxies []Proxy, weight func(entity.VM) uint64) []Proxy {
+	type weighted struct {
+		weight uint64
+		index  int
+	}
+	order := make([]weighted, len(proxies))
+	for i := range proxies {
+		order[i] = weighted{weight(proxies[i].VM), i}
+	}
+	slices.SortFunc(order, func(a, b weighted) int {
+		if c := cmp.Compare(b.weight, a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(proxies[a.index].VM, proxies[b.index].VM)
+	})
+	ordered := make([]Proxy, len(order))
+	for i, o := range order {
+		ordered[i] = proxies[o.index]
+	}
+	return ordered
+}
+
 // OrderByDistance returns the gateways in order of preference for a proxy: first
 // those of its availability zone, then those of its region, then all others. The
 // key spreads sessions over gateways at equal distance.
--- a/core/gateway/watchers.go
+++ b/core/gateway/watchers.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -32,13 +29,7 @@
 	if len(inZone) < minProxiesToShare {
 		return nil
 	}
-	slices.SortFunc(inZone, func(a, b Proxy) int {
-		if c := cmp.Compare(watchWeight(b.VM), watchWeight(a.VM)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.VM, b.VM)
-	})
-	return inZone[:watchersPerZone]
+	return orderByWeight(inZone, watchWeight)[:watchersPerZone]
 }
 
 // watchWeight returns the rendezvous hash of a proxy as a watcher.
