e2e: log the pending requests when acknowledgements do not arrive

A failure of TestSilentConnections showed only how many acknowledgements were missing. The test now logs for each session which request waits, for how long and at which proxy.

--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -65,17 +65,26 @@
 	mu         sync.Mutex
 	writes     []*write
 	violations []string
-	ackCount   atomic.Int64
+	// pending holds the request that each session waits for, by the session's name.
+	pending  map[string]pendingRequest
+	ackCount atomic.Int64
 	// lastAck is when the last acknowledgement arrived, longestAckGap the longest
 	// time between two of them.
 	lastAck       time.Time
 	longestAckGap time.Duration
 }
 
+// pendingRequest is a request without a result so far.
+type pendingRequest struct {
+	what  string
+	proxy string
+	since time.Time
+}
+
 // startCallers starts sessions that write and read back single rows, and sessions that
 // run transactions. Each sends its requests to the targets in turn.
 func (cl *cluster) startCallers(prefix, class string, targets []*proxy, sessions, transactions int) *callers {
-	c := &callers{cluster: cl, targets: targets, class: class, prefix: prefix, stop: make(chan struct{})}
+	c := &callers{cluster: cl, targets: targets, class: class, prefix: prefix, stop: make(chan struct{}), pending: map[string]pendingRequest{}}
 	for i := range sessions {
 		s := &session{callers: c, name: fmt.Sprintf("%ss%d", prefix, i), nextTarget: i}
 		c.wg.Go(s.run)
@@ -112,8 +121,36 @@
 // awaitAcks waits for n more acknowledgements.
 func (c *callers) awaitAcks(n int, limit time.Duration) {
 	c.cluster.t.Helper()
-	goal := c.ackCount.Load() + int64(n)
-	c.cluster.await(limit, fmt.Sprintf("%d more acknowledgements", n), func() bool { return c.ackCount.Load() >= goal })
+	before := c.ackCount.Load()
+	goal := before + int64(n)
+	for until := time.Now().Add(limit); c.ackCount.Load() < goal; time.Sleep(pollInterval) {
+		if time.Now().After(until) {
+			c.logPending()
+			c.cluster.t.Fatalf("not within %s: %d more acknowledgements, got %d", limit, n, c.ackCount.Load()-before)
+		}
+	}
+}
+
+// logPending logs the requests that the sessions wait for.
+func (c *callers) logPending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, r := range c.pending {
+		c.cluster.t.Logf("session %s waits %s for %s from %s", name, time.Since(r.since).Round(time.Millisecond), r.what, r.proxy)
+	}
+}
+
+// track records a request of the session to its next target as pending until the
+// returned function is called.
+func (s *session) track(what string) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending[s.name] = pendingRequest{what, s.targets[s.nextTarget%len(s.targets)].Name, time.Now()}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.pending, s.name)
+	}
 }
 
 func (c *callers) addViolation(format string, arguments ...any) {
@@ -245,6 +282,7 @@
 // sendWrite runs one attempt of a write. sent is false if the request certainly did
 // not run.
 func (s *session) sendWrite(w *write, attempt int) (sent bool, err error) {
+	defer s.track(fmt.Sprintf("attempt %d of write %s", attempt, w.id))()
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	c, err := s.nextConn(ctx)
@@ -275,6 +313,7 @@
 // checkRead reads the session's row, and checks that it has the last acknowledged
 // write or a later one (G1) and that it is the session's own (G4).
 func (s *session) checkRead() {
+	defer s.track("a read")()
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	c, err := s.nextConn(ctx)
@@ -308,6 +347,7 @@
 func (s *session) runTransaction() {
 	w := &write{id: fmt.Sprintf("%s-%d", s.name, s.writeNumber), class: s.class, outcome: notRun, transaction: true}
 	defer s.record(w)
+	defer s.track("transaction " + w.id)()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*attemptTimeout)
 	defer cancel()
 	c, err := s.nextConn(ctx)
