Bound the idle time of the proxy's own ledger transactions

If its connection goes silent between the insert into the ledger and the COMMIT, the upstream keeps the transaction and its locks, and each retry, which inserts the same request id, waits for them until its deadline.

Change: the transaction sets idle_in_transaction_session_timeout to 1 s, so that the upstream rolls it back, unless the batch may begin a transaction of the caller. The stand-in upstream honours the setting.

Result: TestRetryAfterSilentConnection failed before (the retry got no answer within 2 s); TestCallersTransactionMayRest guards the caller's own transactions.

--- a/internal/pgwire/execution.go
+++ b/internal/pgwire/execution.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
+	"regexp"
 	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/samber/oops"
@@ -84,11 +87,28 @@
 // writes, and nothing of it was committed before.
 func (x *execution) rejectedReadOnly() bool { return x.firstError == codeReadOnly && !x.committed }
 
+// ledgerIdleTimeout is the time after which the upstream ends the proxy's own transaction
+// if the connection went silent within it. Its locks delay the retries of the request. A
+// proxy that is paused for longer loses the transaction too, and reports it as such.
+const ledgerIdleTimeout = time.Second
+
+// transactionCommands matches statements with which a caller begins a transaction. A
+// false match leaves the transaction without ledgerIdleTimeout.
+var transactionCommands = regexp.MustCompile(`(?i)begin|transaction`)
+
+// beginLedger returns the command that begins the proxy's own transaction.
+func (x *execution) beginLedger() string {
+	if x.run.Batch.matches(transactionCommands) {
+		return "BEGIN"
+	}
+	return fmt.Sprintf("BEGIN; SET LOCAL idle_in_transaction_session_timeout = %d", ledgerIdleTimeout.Milliseconds())
+}
+
 // runWithLedger runs the batch in a transaction that first stores the request id.
 // The batch is sent only after the id was stored: a COMMIT in the batch could
 // otherwise end the transaction before the insert.
 func (x *execution) runWithLedger() Outcome {
-	if _, err := x.upstream.runCommand("BEGIN"); err != nil {
+	if _, err := x.upstream.runCommand(x.beginLedger()); err != nil {
 		return x.beginFailedOutcome(err)
 	}
 	insert := "INSERT INTO " + LedgerTable + " (request_id) VALUES ('" + strings.ReplaceAll(x.run.LedgerID, "'", "''") + "')"
@@ -194,7 +214,7 @@
 	if _, err := x.upstream.conn.Write(p.wire); err != nil {
 		return errorBuilder.Wrap(err)
 	}
-	if sessionStateFunctions.Match(x.run.Batch.Messages) || x.run.Batch.usesSessionStateFunctions() {
+	if x.run.Batch.matches(sessionStateFunctions) {
 		x.upstream.sessionChanged = true
 	}
 	s := &sequencer{steps: p.steps, prepared: x.upstream.prepared, emit: x.emit}
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -252,6 +252,58 @@
 	}
 }
 
+// silentConn drops everything that is sent from the nth write on.
+type silentConn struct {
+	net.Conn
+	writes int
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.writes--; c.writes < 0 {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a retry that waits for the locks of the request's first attempt, whose
+// connection went silent between the insert into the ledger and the COMMIT.
+func TestRetryAfterSilentConnection(t *testing.T) {
+	m, err := upstream.Start(upstream.Options{Name: "u1", Primary: true})
+	assert.NilError(t, err)
+	t.Cleanup(m.Close)
+	run := func(u *UpstreamConn, key string) Outcome {
+		batch := queryBatch(t, "INSERT INTO kv (k, v) VALUES ('"+key+"', '1')")
+		return u.Run(&Run{Batch: batch, LedgerID: "r" + key}, func([]byte) error { return nil })
+	}
+	// The second write is the insert into the ledger, the fourth one the COMMIT.
+	for key, writes := range map[string]int{"a": 2, "b": 3} {
+		first := dial(t, m.Address())
+		silent := &silentConn{Conn: first.conn, writes: writes}
+		first.conn, first.frontend = silent, pgproto3.NewFrontend(silent, silent)
+		assert.NilError(t, silent.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		assert.Equal(t, run(first, key).Kind, RunBroken)
+
+		second := dial(t, m.Address())
+		assert.NilError(t, second.conn.SetDeadline(time.Now().Add(2*ledgerIdleTimeout)))
+		assert.Equal(t, run(second, key).Kind, RunAnswered, "%d writes", writes)
+		assert.Equal(t, m.Executions(key).Committed, 1)
+	}
+}
+
+// Guards against the time-out of the proxy's own transaction in one that a caller began
+// with the batch.
+func TestCallersTransactionMayRest(t *testing.T) {
+	m, err := upstream.Start(upstream.Options{Name: "u1", Primary: true})
+	assert.NilError(t, err)
+	t.Cleanup(m.Close)
+	u := dial(t, m.Address())
+	_, tail := runBatch(t, u, &Run{Batch: queryBatch(t, "BEGIN; INSERT INTO kv (k, v) VALUES ('a', '1')"), LedgerID: "r1"})
+	assert.Equal(t, tail, "BEGIN INSERT 0 1 T")
+	time.Sleep(ledgerIdleTimeout + 200*time.Millisecond)
+	_, tail = runBatch(t, u, &Run{Batch: queryBatch(t, "COMMIT"), Continued: true})
+	assert.Equal(t, tail, "COMMIT I")
+}
+
 // Guards against a large response that fails although its messages need not be held,
 // and against one that acknowledges a commit before the outcome is confirmed.
 func TestHeldAnswers(t *testing.T) {
--- a/internal/pgwire/upstream.go
+++ b/internal/pgwire/upstream.go
@@ -309,8 +309,9 @@
 // unneeded DISCARD ALL.
 var sessionStateFunctions = regexp.MustCompile(`(?i)\bset_config\s*\(|\bpg_(?:try_)?advisory_lock`)
 
-func (b *Batch) usesSessionStateFunctions() bool {
-	return slices.ContainsFunc(b.Statements, func(s Statement) bool { return sessionStateFunctions.MatchString(s.Query) })
+// matches reports whether the pattern matches a message or a prepared statement.
+func (b *Batch) matches(pattern *regexp.Regexp) bool {
+	return pattern.Match(b.Messages) || slices.ContainsFunc(b.Statements, func(s Statement) bool { return pattern.MatchString(s.Query) })
 }
 
 // changesSessionState reports whether a command tag is that of a statement that may
--- a/internal/standin/upstream/session.go
+++ b/internal/standin/upstream/session.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -133,6 +134,9 @@
 	defer s.member.removeSession(s)
 	defer s.rollback()
 	for {
+		if err := s.conn.SetReadDeadline(s.idleDeadline()); err != nil {
+			return
+		}
 		message, err := s.backend.Receive()
 		if err != nil {
 			return
@@ -146,6 +150,17 @@
 	}
 }
 
+// idleDeadline returns the time by which the next message must arrive, zero for none:
+// the setting idle_in_transaction_session_timeout, in milliseconds, bounds the wait in a
+// transaction block.
+func (s *session) idleDeadline() time.Time {
+	timeout, err := strconv.Atoi(s.settings["idle_in_transaction_session_timeout"])
+	if s.block == blockIdle || err != nil || timeout <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(timeout) * time.Millisecond)
+}
+
 // start handles the startup phase. ready is false if the connection was refused
 // or carried a cancel request.
 func (s *session) start() (ready bool, err error) {
