Make fewer calls to the store when a fleet starts

Cause: after a loss of power the entries of the earlier processes are still listed, so each proxy has watchers, which are not ready. One failed poll made it watch the store itself for 4 to 8 s, at every change of the others that register. Registration took three calls more than needed, since the entry of the earlier process was met as a conflict.

A proxy whose watchers fail waits 1 s between watches, a starting one 0.4 s. A proxy registers after its first listing, over the entry that it found.

--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,9 +24,6 @@
 	// sum, well within the time in which a configuration must take effect.
 	pollWait  = 1500 * time.Millisecond
 	pollSlack = 500 * time.Millisecond
-	// watcherRetryDelay is the maximum time for which a proxy watches the store itself
-	// after its watcher failed. The delay is randomised between half of it and all of it.
-	watcherRetryDelay = 8 * time.Second
 )
 
 // ChangesResponse is the response body of ChangesPath.
@@ -59,32 +55,46 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// assignedWatcher returns the proxy that watches the store on behalf of this one. It
-// reports false if this proxy watches the store itself.
-func (s *storeSync) assignedWatcher() (gateway.Proxy, bool) {
+// watchers returns the proxies that watch the store on behalf of this availability zone,
+// nil if each proxy does for itself.
+func (s *storeSync) watchers() []gateway.Proxy {
 	p := s.proxy
-	if p.options.Peers == nil || time.Now().Before(s.followAfter) {
-		return gateway.Proxy{}, false
+	if p.options.Peers == nil {
+		return nil
 	}
-	self := p.self()
 	p.mu.Lock()
 	listed := slices.Collect(maps.Values(p.proxies.listed))
 	p.mu.Unlock()
-	return gateway.WatcherOf(gateway.Watchers(listed, self.AvailabilityZone), self.VM)
+	return gateway.Watchers(listed, p.self().AvailabilityZone)
 }
 
-// nextChanges waits for changes from the assigned watcher. It reads from the store if there
-// is no watcher or if the watcher fails.
+// nextChanges waits for changes from a watcher. It reads from the store if there is no
+// watcher or if the watchers fail.
 func (s *storeSync) nextChanges(ctx context.Context) ([]Change, uint64, error) {
-	watcher, ok := s.assignedWatcher()
-	s.setWatcher(watcher.VM)
-	if ok {
+	began := now()
+	watchers, self := s.watchers(), s.proxy.self().VM
+	for {
+		watcher, ok := s.source.Next(now(), watchers, self)
+		if !ok {
+			break
+		}
+		s.setWatcher(watcher.VM)
 		changes, revision, err := s.pollWatcher(ctx, watcher)
 		if err == nil || ctx.Err() != nil {
+			s.source.RecordAnswer(watcher.VM)
 			return changes, revision, err
 		}
-		s.followAfter = time.Now().Add(watcherRetryDelay/2 + rand.N(watcherRetryDelay/2))
 		s.proxy.events.rateLimited("watcher_failed", "follow_watcher", string(watcher.VM), nil, err)
+		if errors.Is(err, ErrCompacted) {
+			// The watcher began to watch after this proxy's revision.
+			break
+		}
+		silent := now().Sub(began) > pollSlack
+		s.source.RecordFailure(now(), watcher.VM, silent)
+		if silent {
+			// A change may be overdue.
+			break
+		}
 	}
 	s.setWatcher("")
 	return s.watchStore(ctx)
--- a/internal/managed/sharedwatch_test.go
+++ b/internal/managed/sharedwatch_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkhinge.dev/skylarkhinge/internal/managed"
+	"skylarkhinge.dev/skylarkhinge/platform/standin"
 )
 
 const (
@@ -99,6 +100,29 @@
 	c.eventually(failoverLimit, "WRITE item 1")
 }
 
+// Guards against a fleet that makes many calls to the store after a loss of power. The
+// entries of the earlier processes are still listed then, so that each proxy has watchers,
+// which do not answer yet. A proxy has to list the store, to get a lease, to register and
+// to watch until the watchers have caught up with it.
+func TestFleetRestartsWithFewCalls(t *testing.T) {
+	f := newSharingFleet(t)
+	f.store.SetFault(standin.StoreUnavailable)
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	f.store.SetFault(standin.StoreHealthy)
+	before := f.store.Calls()
+	for i := range f.nodes {
+		f.nodes[i] = f.start(i)
+	}
+	time.Sleep(8 * time.Second)
+	calls := f.store.Calls() - before
+	t.Logf("%d calls of %d proxies", calls, sharingProxies)
+	const callsPerProxy = 6
+	assert.Assert(t, calls <= callsPerProxy*sharingProxies)
+	assert.Equal(t, len(f.followers()), sharingProxies-watchingProxies)
+}
+
 // Guards against proxies that keep an old configuration because their watcher stopped or
 // does not answer.
 func TestFollowersOutlastTheirWatcher(t *testing.T) {
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -81,16 +81,22 @@
 	lease     uint64
 	// reregister signals that the proxy's own entry was removed from the store.
 	reregister chan struct{}
+	// listed is closed after the first listing. ownRevision is the revision of the entry
+	// that this VM's previous process left, 0 if there is none.
+	listed      chan struct{}
+	ownRevision atomic.Uint64
 	// cancelWatch cancels the current watch or poll.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	// watcherName is the proxy that changes are read from, empty for the store.
 	watcherName entity.VM
-	// followAfter is the earliest time at which the proxy may use a watcher again.
-	followAfter time.Time
+	// source chooses the proxy that changes are read from.
+	source gateway.WatchSource
+	// startedAt is when the first listing was complete.
+	startedAt entity.Time
 }
 
 func newStoreSync(p *Proxy) *storeSync {
-	return &storeSync{proxy: p, reregister: make(chan struct{}, 1)}
+	return &storeSync{proxy: p, reregister: make(chan struct{}, 1), listed: make(chan struct{})}
 }
 
 func (s *storeSync) run(ctx context.Context) {
@@ -152,7 +158,7 @@
 	s.apply(changes)
 	s.revision = revision
 	if len(changes) > 0 && s.watcherName == "" {
-		sleep(ctx, s.proxy.coalesceDelay())
+		sleep(ctx, s.coalesceDelay())
 	}
 	return nil
 }
@@ -163,9 +169,22 @@
 const (
 	coalescePerProxy = 5 * time.Millisecond
 	coalesceMax      = 400 * time.Millisecond
+	// startupTime is the time after the first listing in which the delay is coalesceMax:
+	// the other proxies of a fleet that starts register one after the other.
+	startupTime = time.Second
+	// coalesceUnwatched is the delay of a proxy that reads from the store because its
+	// watchers fail. All proxies of an availability zone may do so at once.
+	coalesceUnwatched = time.Second
 )
 
-func (p *Proxy) coalesceDelay() time.Duration {
+func (s *storeSync) coalesceDelay() time.Duration {
+	p := s.proxy
+	if _, follows := gateway.WatcherOf(s.watchers(), p.self().VM); follows {
+		return coalesceUnwatched
+	}
+	if now().Sub(s.startedAt) < startupTime {
+		return coalesceMax
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return min(time.Duration(p.proxies.count())*coalescePerProxy, coalesceMax)
@@ -186,6 +205,10 @@
 	s.proxy.markUnlisted(changes)
 	s.apply(changes)
 	s.revision = revision
+	if s.startedAt == 0 {
+		s.startedAt = now()
+		close(s.listed)
+	}
 	return nil
 }
 
@@ -239,11 +262,17 @@
 		}
 	}
 	p.mu.Unlock()
-	if c.Removed && name == p.settings().VM {
-		select {
-		case s.reregister <- struct{}{}:
-		default:
-		}
+	if name != p.settings().VM {
+		return
+	}
+	if !c.Removed {
+		s.ownRevision.Store(c.Revision)
+		return
+	}
+	s.ownRevision.Store(0)
+	select {
+	case s.reregister <- struct{}{}:
+	default:
 	}
 }
 
@@ -251,6 +280,11 @@
 // shutdown begins.
 func (s *storeSync) keepRegistered(ctx context.Context) {
 	listed := false
+	select {
+	case <-s.listed:
+	case <-time.After(storeTimeout):
+	case <-ctx.Done():
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -308,11 +342,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = store.Put(ctx, key, value, 0, s.lease)
+	_, err = store.Put(ctx, key, value, s.ownRevision.Load(), s.lease)
 	if !errors.Is(err, ErrConflict) {
 		return err
 	}
-	// The entry of this VM's previous process still exists.
+	// The entry was written or has expired since the last change that this proxy read.
 	_, revision, err := store.Get(ctx, key)
 	if err != nil {
 		return err
