Leave a replica that does not answer alone

Cause: a read that a replica let time out did not pause the replica, and each next read was sent there too. A connection attempt could take 0.8 s of a read's 1 s, and a read that had lost time at a dark replica was then refused, since half of its time had passed.

Change: a replica that lets a read time out is paused for 0.1 to 1.6 s and then gets one statement at a time until it answers. Opening a connection to a replica takes at most half of the remaining time. After a try without an answer, a read may wait for half of what remains.

--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -33,6 +33,8 @@
 	lagRefusals int
 	// lostReplies counts the tries whose reply deadline was earlier than the statement's.
 	lostReplies int
+	// unanswered is set once a member did not answer a try.
+	unanswered bool
 	// rolledBack is set once the primary itself lacked the minimum position: the session's
 	// last position was rolled back by a promotion.
 	rolledBack bool
@@ -164,10 +166,20 @@
 
 // connect opens the permit's connection if necessary.
 func (a *attempt) connect(p *permit) error {
-	defer addElapsed(&a.session.stages.connect, now())
-	return p.connect(a.deadline)
+	at := now()
+	defer addElapsed(&a.session.stages.connect, at)
+	limit := a.deadline
+	if !p.onPrimary {
+		// Another member can serve the read in the rest of its time.
+		limit = at.Add(limit.Sub(at) / connectTimeDivisor)
+	}
+	return p.connect(limit)
 }
 
+// connectTimeDivisor sets the maximum time for opening a connection to a replica: the
+// statement's remaining time divided by it.
+const connectTimeDivisor = 2
+
 // confirmPrimary confirms over the permit's connection that its member is the primary.
 func (a *attempt) confirmPrimary(p *permit) (bool, error) {
 	defer addElapsed(&a.session.stages.confirm, now())
@@ -175,12 +187,18 @@
 }
 
 // queueDeadline returns the latest start time of the statement. A caller that is refused
-// then still has enough of the statement timeout left to retry.
+// then still has enough of the statement timeout left to retry. The time that the statement
+// lost at a member that does not answer does not count.
 func (a *attempt) queueDeadline() entity.Time {
-	return a.arrived.Add(a.deadline.Sub(a.arrived) / queueTimeDivisor)
+	from := a.arrived
+	if a.unanswered {
+		from = now()
+	}
+	return from.Add(a.deadline.Sub(from) / queueTimeDivisor)
 }
 
-// queueTimeDivisor sets the maximum queueing time: the statement's timeout divided by it.
+// queueTimeDivisor sets the maximum queueing time: the time from arrival to the statement's
+// deadline divided by it.
 const queueTimeDivisor = 2
 
 func refusedReply(r *flood.Refusal) Reply {
@@ -191,6 +209,7 @@
 // was not sent and is retried until its deadline.
 func (a *attempt) handleDialFailure(p *permit, err error) (Reply, bool) {
 	a.db.endPermit(p, false)
+	a.unanswered = true
 	if a.expired() {
 		return errorReply(CodeBusy, "not run: "+err.Error()), true
 	}
@@ -206,6 +225,7 @@
 	if a.expired() {
 		return errorReply(CodeTimeout, "no answer from the upstream: "+err.Error()), true
 	}
+	a.unanswered = true
 	return Reply{}, false
 }
 
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -199,6 +199,9 @@
 // maxInFlight returns the maximum number of statements that this proxy may have in flight
 // at a member. The mutex is held.
 func (d *database) maxInFlight(m *member) int {
+	if m != d.primary && m.onTrial() {
+		return 1
+	}
 	if d.scheduler.Queued(0) > 0 {
 		return min(d.connectionShare, perProxyShare(urgentFactor*m.entry.Slots, d.sharingProxies))
 	}
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -11,6 +11,9 @@
 	// doubles with each further failure up to maxFailurePause.
 	failurePause    = 50 * time.Millisecond
 	maxFailurePause = 400 * time.Millisecond
+	// maxLostReplyPause is the same limit for a replica that does not answer. Other members
+	// serve its reads, and each trial delays a read until its reply counts as lost.
+	maxLostReplyPause = 1600 * time.Millisecond
 	// connectionLimitPause is how long no new connection is opened after the member refused
 	// one because its connection limit was reached.
 	connectionLimitPause = 200 * time.Millisecond
@@ -116,6 +119,20 @@
 	m.pauseUntil = at.Add(min(failurePause<<min(m.failures, 4), maxFailurePause))
 }
 
+// recordLostReply records that a replica did not answer a read in time and pauses it. Reads
+// that were sent to it together count once.
+func (m *member) recordLostReply(at entity.Time) {
+	if at < m.pauseUntil {
+		return
+	}
+	m.failures++
+	m.pauseUntil = at.Add(min(failurePause<<min(m.failures, 5), maxLostReplyPause))
+}
+
+// onTrial reports whether the member failed and has not answered since. It gets one
+// statement at a time then.
+func (m *member) onTrial() bool { return m.failures > 0 }
+
 // clearFailures records that the member is reachable.
 func (m *member) clearFailures() {
 	m.failures = 0
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -58,6 +58,10 @@
 		}
 		return
 	}
+	if m != d.primary && isTimeout(err) {
+		m.recordLostReply(at)
+		return
+	}
 	d.recordConnFailure(m, at)
 }
 
@@ -99,6 +103,8 @@
 		// checks.
 		if p.member == d.primary {
 			d.monitor.suspectPrimary()
+		} else {
+			p.member.recordLostReply(at)
 		}
 	} else {
 		d.recordConnFailure(p.member, at)
