Ask a store that is down more rarely

Cause: while the store was down, each of 295 proxies asked it about three times a second (watch and registration), and every refused call is paid. A failed renewal also cancelled the poll of a watcher, which counted as its failure and led to a watch of the proxy's own.

Change: a proxy whose watchers and store failed asks the store after 0.8 to 3.2 s, its watchers after 0.5 to 2 s; registration backs off from 0.8 to 3.2 s; only a watch of the store is cancelled by a failed renewal. Proxies without watchers ask as often as before.

--- a/core/gateway/source_test.go
+++ b/core/gateway/source_test.go
@@ -44,6 +44,23 @@
 	assert.Equal(t, again.VM, assigned.VM)
 }
 
+// Guards against a fleet that asks a store that is down again and again, and against one
+// that does not ask it any more.
+func TestStoreThatIsDownIsAskedRarely(t *testing.T) {
+	var s WatchSource
+	calls := 0
+	const outage = 20 * time.Second
+	for now := entity.Time(0); now < entity.Time(outage); now = now.Add(50 * time.Millisecond) {
+		if s.StoreDue(now) {
+			calls++
+			s.RecordStore(now, false)
+		}
+	}
+	assert.Assert(t, calls >= int(outage/maxStorePause) && calls <= int(outage/(maxStorePause/2))+3, "%d calls", calls)
+	s.RecordStore(1, true)
+	assert.Assert(t, s.StoreDue(1))
+}
+
 // Guards against a proxy that waits for a silent watcher again and again.
 func TestSilentWatcherIsLeftAlone(t *testing.T) {
 	watchers := Watchers(fleetWithStatus(12, 1), "zone-0")
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -73,6 +73,7 @@
 func (s *storeSync) nextChanges(ctx context.Context) ([]Change, uint64, error) {
 	began := now()
 	watchers, self := s.watchers(), s.proxy.self().VM
+	_, follows := gateway.WatcherOf(watchers, self)
 	for {
 		watcher, ok := s.source.Next(now(), watchers, self)
 		if !ok {
@@ -97,9 +98,19 @@
 		}
 	}
 	s.setWatcher("")
-	return s.watchStore(ctx)
+	if follows && !s.source.StoreDue(now()) {
+		return nil, 0, errStorePaused
+	}
+	changes, revision, err := s.watchStore(ctx)
+	if ctx.Err() == nil {
+		s.source.RecordStore(now(), err == nil || errors.Is(err, ErrCompacted))
+	}
+	return changes, revision, err
 }
 
+// errStorePaused is returned while neither a watcher nor the store is to be asked.
+var errStorePaused = errors.New("the watchers and the store failed recently")
+
 // setWatcher records the source of the changes; an empty name means the store.
 func (s *storeSync) setWatcher(watcher entity.VM) {
 	if s.watcherName == watcher {
@@ -113,7 +124,6 @@
 func (s *storeSync) pollWatcher(ctx context.Context, watcher gateway.Proxy) ([]Change, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
 	defer cancel()
-	s.cancelWatch.Store(&cancel)
 	return s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision)
 }
 
@@ -121,6 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	s.cancelWatch.Store(&cancel)
+	defer s.cancelWatch.Store(nil)
 	changes, revision, err := s.proxy.options.Store.Watch(ctx, s.revision, watchWait)
 	if err != nil {
 		s.proxy.watchLog.stop()
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -24,6 +24,9 @@
 	// minSyncBackoff and maxSyncBackoff bound the delay after a failed call.
 	minSyncBackoff = 50 * time.Millisecond
 	maxSyncBackoff = 800 * time.Millisecond
+	// maxRegisterBackoff bounds the delay after a failed registration or lease renewal. It
+	// leaves a second renewal within vmTTL.
+	maxRegisterBackoff = 3200 * time.Millisecond
 	// vmPrefix is the key prefix of the entries of running proxies.
 	vmPrefix = "vm/"
 	// vmTTL is the lease time of a proxy's entry. A failed proxy's share of connections is
@@ -85,7 +88,7 @@
 	// that this VM's previous process left, 0 if there is none.
 	listed      chan struct{}
 	ownRevision atomic.Uint64
-	// cancelWatch cancels the current watch or poll.
+	// cancelWatch cancels the current watch of the store, nil if there is none.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	// watcherName is the proxy that changes are read from, empty for the store.
 	watcherName entity.VM
@@ -287,6 +290,7 @@
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	backoff := maxSyncBackoff
 	for {
 		select {
 		case <-ctx.Done():
@@ -310,10 +314,11 @@
 			if cancel := s.cancelWatch.Load(); cancel != nil {
 				(*cancel)()
 			}
-			timer.Reset(maxSyncBackoff/2 + rand.N(maxSyncBackoff))
+			timer.Reset(backoff/2 + rand.N(backoff/2))
+			backoff = min(2*backoff, maxRegisterBackoff)
 			continue
 		}
-		listed = true
+		listed, backoff = true, maxSyncBackoff
 		timer.Reset(vmRenewal)
 	}
 }
