Take the primary to replace from the check that found it lost

Cause: the takeover read the believed primary after it had acquired the claim. Another member may have become the believed primary since the check that found the earlier one lost, and would have been replaced without being asked.

Change: the check passes the primary that it found lost or leaving to the takeover.

--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -132,10 +132,10 @@
 		mon.checkPrimary(primary)
 		return suspectInterval
 	case leaving:
-		mon.takeOver(true, "leaving")
+		mon.takeOver(primary, true, "leaving")
 		return suspectInterval
 	case movePrimary:
-		mon.takeOver(true, "replicas lag")
+		mon.takeOver(primary, true, "replicas lag")
 		return suspectInterval
 	}
 	mon.noPrimarySince = 0
--- a/internal/managed/primary.go
+++ b/internal/managed/primary.go
@@ -40,7 +40,7 @@
 		return
 	}
 	if now().Sub(mon.noPrimarySince) > noPrimaryWait {
-		mon.takeOver(false, "no member leads")
+		mon.takeOver(nil, false, "no member leads")
 	}
 }
 
@@ -107,7 +107,7 @@
 	if mon.adoptNewestPrimary(mon.queryMembers(Command{Kind: CommandStatus}, mon.allExcept(primary))) {
 		return
 	}
-	mon.takeOver(false, "primary does not answer")
+	mon.takeOver(primary, false, "primary does not answer")
 }
 
 // checkReplication clears the suspicion against a primary that answers, unless its replicas
@@ -121,7 +121,7 @@
 		mon.primarySuspected.Store(false)
 		return
 	}
-	mon.takeOver(false, "primary does not replicate")
+	mon.takeOver(primary, false, "primary does not replicate")
 }
 
 func (d *database) replicatesSynchronously() bool {
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -26,9 +26,10 @@
 	claimMargin = promoteTimeout
 )
 
-// takeOver promotes a new primary if this proxy acquires the claim. planned is set if the
-// current primary is healthy.
-func (mon *monitor) takeOver(planned bool, reason string) {
+// takeOver replaces a primary, nil if none is known, if this proxy acquires the claim.
+// planned is set if that primary is healthy. Another member may have become the believed
+// primary by the time the claim is acquired.
+func (mon *monitor) takeOver(replaced *member, planned bool, reason string) {
 	d := mon.db
 	if now() < mon.nextTakeover || !d.membersSettled() {
 		return
@@ -37,10 +38,7 @@
 	if c == nil {
 		return
 	}
-	t := &takeoverRun{monitor: mon, db: d, claim: c, planned: planned, startedAt: now()}
-	d.mu.Lock()
-	t.replaced = d.primary
-	d.mu.Unlock()
+	t := &takeoverRun{monitor: mon, db: d, claim: c, replaced: replaced, planned: planned, startedAt: now()}
 	d.proxy.events.takeoverBegan(d.name, reason, c.fence)
 	t.run()
 	mon.misses = 0
