Move sessions to the gateways once the fleet is known

Cause: when all processes of a fleet start while the store is down, each proxy sees an empty list at first and takes itself for a gateway of every database.

Change: a session that a proxy other than a gateway serves is moved to a gateway before its next statement outside a transaction, at most once a second; a proxy that is no gateway keeps no idle connections.

Result: TestFirstSessionsMoveToGateways failed before ('vm-0 serves a session').

--- a/internal/managed/changegateway.go
+++ b/internal/managed/changegateway.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/gateway"
 )
 
 // gatewayUnavailable reports whether the session's gateway has failed, for this session or
@@ -32,16 +33,10 @@
 	if s.proxy.database(route.Database).handOverTargets() == nil {
 		s.remote = nil
 	} else {
-		next := s.handOver(route)
+		next := s.restoreAtGateway(route, handOverAttempts)
 		if next == nil {
 			return false
 		}
-		if err := next.restore(&s.state); err != nil {
-			s.proxy.events.rateLimited("hand_over_failed", "restore_session", string(next.vm), nil, err)
-			// The new gateway has no state of the session yet.
-			_ = next.conn.Close()
-			return false
-		}
 		s.remote = next
 	}
 	// The old gateway holds no open transaction of the session.
@@ -49,6 +44,56 @@
 	return true
 }
 
+// moveDelay is the least time between two moves of a session by moveToGateway.
+const moveDelay = time.Second
+
+// moveToGateway moves a session without an open transaction that a proxy other than a
+// gateway of the database serves: this one or another one. That proxy began to serve it
+// before it knew the gateways, or when none could be reached, and takes connections that
+// are the gateways' share.
+func (s *session) moveToGateway(at entity.Time) {
+	if s.fromPeer || s.tx != nil || at < s.nextMove || s.remote != nil && s.remote.inTransaction {
+		return
+	}
+	route, ok := s.proxy.route(s.databaseName)
+	if !ok || s.proxy.database(route.Database).isGatewaySession(s.remote) {
+		return
+	}
+	s.nextMove = at.Add(moveDelay)
+	if s.remote == nil {
+		s.remote = s.restoreAtGateway(route, 1)
+		return
+	}
+	s.changeGateway()
+}
+
+// isGatewaySession reports whether a gateway of the database serves a session: this proxy
+// if remote is nil.
+func (d *database) isGatewaySession(remote *remoteSession) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if remote == nil {
+		return d.isGateway
+	}
+	return gateway.Contains(d.gateways, remote.vm)
+}
+
+// restoreAtGateway opens the session with its state at a gateway, trying a number of them.
+// It returns nil if that fails.
+func (s *session) restoreAtGateway(route Route, attempts int) *remoteSession {
+	next := s.handOver(route, attempts)
+	if next == nil {
+		return nil
+	}
+	if err := next.restore(&s.state); err != nil {
+		s.proxy.events.rateLimited("hand_over_failed", "restore_session", string(next.vm), nil, err)
+		// The gateway has no state of the session yet.
+		_ = next.conn.Close()
+		return nil
+	}
+	return next
+}
+
 // lastWriteVariable is the reserved session variable in which a proxy sends a gateway the
 // log position of the session's last write.
 const lastWriteVariable = "skylarkhinge.written"
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -18,10 +18,10 @@
 	handOverSlack = 300 * time.Millisecond
 )
 
-// handOver opens the session at a gateway of the route's database. It returns nil if this
-// proxy serves the session itself: it is a gateway, the session already came from another
-// proxy, or no gateway can be reached.
-func (s *session) handOver(route Route) *remoteSession {
+// handOver opens the session at a gateway of the route's database, trying a number of them.
+// It returns nil if this proxy serves the session itself: it is a gateway, the session
+// already came from another proxy, or no gateway can be reached.
+func (s *session) handOver(route Route, attempts int) *remoteSession {
 	if s.fromPeer {
 		return nil
 	}
@@ -31,7 +31,7 @@
 		return nil
 	}
 	ordered := s.proxy.suspectedGateways.moveSuspectedLast(gateway.OrderByDistance(gateways, s.proxy.self(), uint64(now())))
-	for _, g := range ordered[:min(handOverAttempts, len(ordered))] {
+	for _, g := range ordered[:min(attempts, len(ordered))] {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.databaseName), Address: g.Address})
 		cancel()
--- a/internal/managed/handover_test.go
+++ b/internal/managed/handover_test.go
@@ -30,7 +30,15 @@
 	for i := range proxies {
 		f.nodes = append(f.nodes, f.start(i))
 	}
-	waitFor(t, 5*time.Second, "all proxies are listed", func() bool {
+	f.awaitListed(proxies)
+	f.group.ClearUsers()
+	return f
+}
+
+// awaitListed waits until all proxies know each other. Before that, proxies consider
+// themselves gateways.
+func (f *fleet) awaitListed(proxies int) {
+	waitFor(f.t, 5*time.Second, "all proxies are listed", func() bool {
 		for _, n := range f.nodes {
 			if len(n.log.find("event=proxies_changed", fmt.Sprintf("proxies=%d", proxies))) == 0 {
 				return false
@@ -38,10 +46,7 @@
 		}
 		return true
 	})
-	// Proxies consider themselves gateways until they know the others.
 	time.Sleep(300 * time.Millisecond)
-	f.group.ClearUsers()
-	return f
 }
 
 // connectedProxies returns the number of proxies that opened connections to the upstreams.
@@ -244,3 +249,46 @@
 	c := f.nodes[0].open(t, sessionDB)
 	assert.Equal(t, c.query("SET skylarkhinge.written 9.9").code, managed.CodeMalformed)
 }
+
+// Guards against proxies that keep their first sessions, and with them connections that are
+// the gateways' share, after they have learned that they are not gateways: when a whole
+// fleet starts, each proxy is alone on its list at first.
+func TestFirstSessionsMoveToGateways(t *testing.T) {
+	f := newFleet(t, 0)
+	f.connections = scarceConnections
+	f.configure()
+	const first, all = 5, 6
+	var sessions []*caller
+	for i := range first {
+		f.nodes = append(f.nodes, f.start(i))
+		c := f.nodes[i].open(t, sessionDB)
+		c.mustQuery("SET tenant mask")
+		c.mustQuery("PREPARE s1 WRITE shape")
+		c.mustQuery("EXECUTE s1 item v")
+		sessions = append(sessions, c)
+	}
+	for i := first; i < all; i++ {
+		f.nodes = append(f.nodes, f.start(i))
+	}
+	f.awaitListed(all)
+	time.Sleep(time.Second)
+	gateways := map[string]bool{}
+	for _, n := range f.nodes {
+		c := n.open(t, sessionDB)
+		c.mustQuery("READ item")
+		gateways[f.executionsOf(c)[0].User] = true
+	}
+	moved := 0
+	for i, c := range sessions {
+		assert.DeepEqual(t, c.mustQuery("READ item").rows, []string{"v"})
+		c.mustQuery("EXECUTE s1 item v")
+		executions := f.executionsOf(c)
+		last := executions[len(executions)-1]
+		assert.Equal(t, last.Variables, "tenant=mask")
+		assert.Assert(t, gateways[last.User], "%s serves a session, %v are gateways", last.User, gateways)
+		if last.User != f.nodes[i].settings.VM {
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 0, "all of the first proxies are gateways")
+}
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -77,8 +77,14 @@
 const idleTimeout = 400 * time.Millisecond
 
 // minPooledConns is the number of connections to a member that stay open without load. All
-// proxies together leave half of the member's limit free. The mutex is held.
-func (d *database) minPooledConns() int { return max(1, d.connectionShare/2) }
+// gateways together leave half of the member's limit free; other proxies keep none. The
+// mutex is held.
+func (d *database) minPooledConns() int {
+	if !d.isGateway {
+		return 0
+	}
+	return max(1, d.connectionShare/2)
+}
 
 // closeIdle closes idle connections beyond minPooledConns. The mutex is held.
 func (d *database) closeIdle(at entity.Time) {
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -22,8 +22,10 @@
 
 	// fromPeer is set if another proxy handed this session over.
 	fromPeer bool
-	// remote is set if a gateway serves the session.
-	remote *remoteSession
+	// remote is set if another proxy serves the session. nextMove is the earliest time at
+	// which moveToGateway moves it.
+	remote   *remoteSession
+	nextMove entity.Time
 	// stages are the timings and counters of the current statement.
 	stages stages
 
@@ -78,7 +80,8 @@
 		s.rejectUnknown()
 		return false
 	}
-	s.remote = s.handOver(route)
+	s.remote = s.handOver(route, handOverAttempts)
+	s.nextMove = now().Add(moveDelay)
 	return s.caller.Accept() == nil
 }
 
@@ -150,6 +153,7 @@
 func (s *session) serveStatement(statement *Statement) bool {
 	arrived := now()
 	s.stages = stages{}
+	s.moveToGateway(arrived)
 	var reply Reply
 	var state TransactionState
 	closeSession := false
