Add a soak of real daemons under faults from outside

TestSoak starts six daemons as processes before the stand-ins, injects signals, silent, reset and delayed connections and faults of upstreams and store that overlap, and judges by what callers and upstreams saw.

--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,6 @@
 	$(GO) test ./internal/model -run TestRandomFailures -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -timeout 60m
 	$(GO) test ./core/membership -run TestMainProperty -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -timeout 60m
 	$(GO) test ./internal/managed -run TestRandomFailures -random.seed=$(SEED) -random.seeds=$(SEEDS) -timeout 60m
+	$(GO) test ./internal/managed -run 'TestSoak$$' -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -timeout 60m
 	$(GO) test ./internal/managed -run TestServesWithoutALogReader -blocked.time=60s
 	$(GO) test ./platform -run XXX -fuzz FuzzCallerMessage -fuzztime 60s
--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -88,8 +88,11 @@
 // faultTest is a fleet under random faults, with clients that check their results.
 type faultTest struct {
 	*fleet
-	// stopsProxies adds proxy failures to the faults.
-	stopsProxies bool
+	// stopsProxies is set if proxies fail, so that sessions end without a reply.
+	// restartsProxies makes injectFaults restart them.
+	stopsProxies, restartsProxies bool
+	// startNode starts the proxy of an index.
+	startNode func(i int) *node
 	// nodesMu guards nodes if proxies are restarted.
 	nodesMu sync.Mutex
 	// entryProxies maps the name of each session's caller to the proxy it connected to.
@@ -176,7 +179,7 @@
 func (ft *faultTest) restart(i int, pause time.Duration) {
 	ft.node(i).stop()
 	time.Sleep(pause)
-	n := ft.start(i)
+	n := ft.startNode(i)
 	ft.nodesMu.Lock()
 	defer ft.nodesMu.Unlock()
 	ft.nodes[i] = n
@@ -314,7 +317,7 @@
 		m := ft.group.Member(ft.random.IntN(3))
 		pause := time.Duration(50+ft.random.IntN(900)) * time.Millisecond
 		kinds := 10
-		if ft.stopsProxies {
+		if ft.restartsProxies {
 			kinds = 16
 		}
 		kind := ft.random.IntN(kinds)
@@ -432,7 +435,7 @@
 		seed := *randomSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			ft := newFaultTest(newGatewayFleet(t), seed)
-			ft.stopsProxies = true
+			ft.stopsProxies, ft.restartsProxies = true, true
 			for i := range 3 {
 				// Slow statements make it likely that a proxy stops with statements in
 				// flight.
@@ -449,7 +452,7 @@
 }
 
 func newFaultTest(f *fleet, seed uint64) *faultTest {
-	ft := &faultTest{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), stopAt: time.Now().Add(faultDuration)}
+	ft := &faultTest{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), stopAt: time.Now().Add(faultDuration), startNode: f.start}
 	for i := range 6 {
 		ft.writers = append(ft.writers, &writerState{name: fmt.Sprintf("w%d", i)})
 	}
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -25,7 +25,7 @@
 // SIGTERM.
 const stopTimeout = 10 * time.Second
 
-// Process is a child process. Call either AwaitReady or DiscardOutput, once: both
+// Process is a child process. Call one of AwaitReady, DiscardOutput and CopyOutput, once: they
 // reap the process in the background. Stop, Wait and CPUTime block until it is
 // reaped.
 type Process struct {
@@ -93,10 +93,14 @@
 
 // DiscardOutput drains the standard output in the background, so that the
 // process never blocks on it, and reaps the process when it exits.
-func (p *Process) DiscardOutput() {
+func (p *Process) DiscardOutput() { p.CopyOutput(io.Discard) }
+
+// CopyOutput is like DiscardOutput and copies the standard output to w, which must not
+// block.
+func (p *Process) CopyOutput(w io.Writer) {
 	go func() {
 		defer close(p.done)
-		_, _ = io.Copy(io.Discard, p.output)
+		_, _ = io.Copy(w, p.output)
 		_ = p.command.Wait()
 	}()
 }
