--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -33,7 +33,8 @@
 	lagRefusals int
 	// lostReplies counts the tries whose reply deadline was earlier than the statement's.
 	lostReplies int
-	// unanswered is set once a member did not answer a try.
+	// unanswered is set once a try got no answer, because its connection failed or could not
+	// be opened.
 	unanswered bool
 	// rolledBack is set once the primary itself lacked the minimum position: the session's
 	// last position was rolled back by a promotion.
@@ -187,8 +188,8 @@
 }
 
 // queueDeadline returns the latest start time of the statement. A caller that is refused
-// then still has enough of the statement timeout left to retry. The time that the statement
-// lost at a member that does not answer does not count.
+// then still has enough of the statement timeout left to retry. After a try without an
+// answer, the time until then does not count.
 func (a *attempt) queueDeadline() entity.Time {
 	from := a.arrived
 	if a.unanswered {
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -24,8 +24,8 @@
 	// minSyncBackoff and maxSyncBackoff bound the delay after a failed call.
 	minSyncBackoff = 50 * time.Millisecond
 	maxSyncBackoff = 800 * time.Millisecond
-	// maxRegisterBackoff bounds the delay after a failed registration or lease renewal. It
-	// leaves a second renewal within vmTTL.
+	// maxRegisterBackoff bounds the delay after a failed registration or lease renewal. The
+	// first delays are shorter, so that a lease outlasts two failed renewals.
 	maxRegisterBackoff = 3200 * time.Millisecond
 	// vmPrefix is the key prefix of the entries of running proxies.
 	vmPrefix = "vm/"
