Keep the log writer from crashing a process that ends

Cause: LineWriter.Close closed its queue while sessions still logged, and the next line panicked with 'send on closed channel'. A daemon whose grace period ended with sessions open crashed instead of ending.

Change: lines that are written after Close are dropped.

--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -12,10 +12,12 @@
 // that arrive while the queue is full are dropped; their count is written with the next
 // lines. It is safe for concurrent use.
 type LineWriter struct {
-	lines     chan []byte
-	dropped   atomic.Int64
-	done      chan struct{}
-	closeOnce sync.Once
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	// mu is held for reading while a line is queued, and guards closed.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewLineWriter returns a writer with a queue of the given number of lines. The caller must
@@ -26,8 +28,14 @@
 	return w
 }
 
-// Write queues one line, which must end with a line break. It never blocks or fails.
+// Write queues one line, which must end with a line break. It never blocks or fails. Lines
+// that are written after Close are dropped.
 func (w *LineWriter) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -72,10 +80,14 @@
 // closeTimeout limits how long Close waits for the output.
 const closeTimeout = 200 * time.Millisecond
 
-// Close waits up to closeTimeout until the queued lines are written. Write must not be
-// called after it.
+// Close waits up to closeTimeout until the queued lines are written.
 func (w *LineWriter) Close() {
-	w.closeOnce.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-time.After(closeTimeout):
--- a/internal/telemetry/lines_test.go
+++ b/internal/telemetry/lines_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,3 +48,21 @@
 	w.Close()
 	assert.Assert(t, time.Since(began) < 2*time.Second)
 }
+
+// Guards against a crash at the end of a process whose sessions still log.
+func TestLineWriterIsClosedWhileOthersWrite(t *testing.T) {
+	for range 20 {
+		w := NewLineWriter(io.Discard, 10)
+		var writers sync.WaitGroup
+		for range 4 {
+			writers.Go(func() {
+				for range 2000 {
+					_, err := w.Write([]byte("line\n"))
+					assert.NilError(t, err)
+				}
+			})
+		}
+		w.Close()
+		writers.Wait()
+	}
+}
