--- a/internal/managed/soak_test.go
+++ b/internal/managed/soak_test.go
@@ -139,8 +139,12 @@
 		case 0, 1:
 			s.restart(i, pause)
 		case 2:
+			// Before the daemon handles signals, SIGTERM ends it at once.
+			started := len(s.node(i).log.find("event=started")) > 0
 			_ = p.Signal(syscall.SIGTERM)
-			p.Wait()
+			if code := p.Wait(); started && code != 0 {
+				s.t.Errorf("vm-%d exits with code %d after SIGTERM", i, code)
+			}
 			s.restart(i, pause)
 		case 3:
 			// The daemon is killed within its grace period.
