Replace a control connection that does not answer

Change: a status call that runs into its deadline on the reused connection makes the next call open another one; calls that still wait keep theirs for 1 s.

Result: TestSilentConnectionIsReplaced failed before.

--- a/control/control.go
+++ b/control/control.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	controlpb "skylarkhinge.dev/skylarkhinge/api/control/v1"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -57,6 +60,23 @@
 	return conn, err
 }
 
+// replaceDelay is how long a replaced connection stays open for the calls on it that still
+// wait for an answer.
+const replaceDelay = time.Second
+
+// replace makes the next call use a new connection instead of one that did not answer in
+// time. It may have gone silent, which gRPC does not notice by itself.
+func (c *Client) replace(conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != conn {
+		return
+	}
+	c.conn = nil
+	// The connection is not used again, so the error of closing it means nothing.
+	time.AfterFunc(replaceDelay, func() { _ = conn.Close() })
+}
+
 func (c *Client) wrapError(step string, err error) error {
 	return oops.With("step", step, "peer", string(c.upstream)).Wrap(err)
 }
@@ -65,10 +85,11 @@
 // for this call alone, because the reused one can stop responding while the upstream
 // still works.
 func (c *Client) Status(ctx context.Context, database entity.Database, newConnection bool) (entity.MemberStatus, error) {
-	conn, err := c.connection()
+	open := c.connection
 	if newConnection {
-		conn, err = c.dial()
+		open = c.dial
 	}
+	conn, err := open()
 	if err != nil {
 		return entity.MemberStatus{}, c.wrapError("dial_control", err)
 	}
@@ -77,6 +98,9 @@
 	}
 	request := &controlpb.StatusRequest{Database: string(database)}
 	response, err := controlpb.NewUpstreamControlClient(conn).Status(ctx, request)
+	if status.Code(err) == codes.DeadlineExceeded && !newConnection {
+		c.replace(conn)
+	}
 	if err != nil {
 		return entity.MemberStatus{}, c.wrapError("status", err)
 	}
@@ -118,7 +142,7 @@
 }
 
 func memberStatusFromProto(upstream entity.Upstream, s *controlpb.Status) entity.MemberStatus {
-	status := entity.MemberStatus{
+	out := entity.MemberStatus{
 		Upstream: upstream,
 		Primary:  s.GetPrimary(),
 		Term:     s.GetTerm(),
@@ -126,9 +150,9 @@
 		Applied:  positionFromProto(s.GetApplied()),
 	}
 	for _, h := range s.GetHistory() {
-		status.History = append(status.History, entity.TermStart{Term: h.GetTerm(), Offset: h.GetOffset()})
+		out.History = append(out.History, entity.TermStart{Term: h.GetTerm(), Offset: h.GetOffset()})
 	}
-	return status
+	return out
 }
 
 func positionFromProto(p *controlpb.Position) entity.Position {
