End a forwarded transaction with the stream on which it began

Cause: since requests belong to a stream, a transaction belonged to the stream of its latest statement. If a statement came on a new stream before the owner learned that the earlier one had ended, the owner kept the transaction, which the forwarding proxy had ended, with its locks.

Change: the transaction keeps the stream of its first statement. The test waits until both proxies have noticed the break, since a statement that is sent before may still run; it checks the same answers as before.

--- a/core/connections.go
+++ b/core/connections.go
@@ -35,7 +35,7 @@
 	// request is the one whose batch runs, or nil.
 	request *request
 	// caller is that of the open transaction, if any, and inbound the stream on which
-	// its latest statement came. term and lane are those of its first dispatch.
+	// it began. term and lane are those of its first dispatch.
 	caller  entity.CallerID
 	inbound streamKey
 	term    uint64
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -275,7 +275,9 @@
 	c.request = nil
 	c.lastUsed = n.now
 	c.caller = r.arrival.Caller
-	c.inbound = r.arrival.inboundStream()
+	if n.transactions[c.caller].conn != c {
+		c.inbound = r.arrival.inboundStream()
+	}
 	c.term = r.term
 	c.lane = r.item.Lane
 	if old, ok := n.transactions[c.caller]; ok && old.conn != c {
--- a/core/node_test.go
+++ b/core/node_test.go
@@ -207,6 +207,27 @@
 	}
 }
 
+// Guards against a transaction that stays open at the owner after its stream ended: its
+// caller's node has ended it, even if a later statement came on the next stream.
+func TestTransactionEndsWithItsFirstStream(t *testing.T) {
+	h := newHarness(1)
+	h.runRequests(100, 10, 1, 10)
+	h.runIdle(5)
+	for _, stream := range []uint64{1, 2} {
+		h.addArrival(0, 1)
+		a := &h.in.Arrivals[0]
+		a.Class, a.ForwardedBy, a.Stream, a.Transaction, a.InTransaction = "order", "p2", stream, 1, stream == 2
+		h.tick(time.Millisecond)
+		assert.Equal(t, len(h.in.Completions), 1)
+		h.in.Completions[0].InTransaction = true
+		h.tick(time.Millisecond)
+		assert.Equal(t, h.node.Snapshot().Transactions, 1)
+	}
+	h.in.PeersDown = []PeerDown{{Peer: "p2", Inbound: true, Stream: 1}}
+	h.tick(time.Millisecond)
+	assert.Equal(t, h.node.Snapshot().Transactions, 0)
+}
+
 // Guards against a peer's new stream that loses its requests and transactions when the
 // end of an earlier stream is noticed late.
 func TestEndOfAnEarlierStream(t *testing.T) {
--- a/internal/proxy/isolation_test.go
+++ b/internal/proxy/isolation_test.go
@@ -179,6 +179,16 @@
 	}
 }
 
+// openTransactions returns the number of open transactions that the proxies know.
+func (f *fleet) openTransactions() int {
+	f.t.Helper()
+	open := 0
+	for _, p := range f.proxies {
+		assert.NilError(f.t, p.runBetweenTicks(testContext(f.t), func(n *core.Node) { open += n.Snapshot().Transactions }))
+	}
+	return open
+}
+
 // Guards against a truncated result that looks complete, and against a part of it
 // that arrives in a later response, when the stream between proxies breaks while
 // the result is sent.
@@ -223,6 +233,10 @@
 	s.runLine("a: Query SET skylarkhinge.class = 'order'")
 	s.runLine("a: Query BEGIN; INSERT INTO kv (k, v) VALUES ('k', 'a')")
 	forwarder.peers.client(owner.self).currentStream().cancel()
+	// A statement that is sent before both notice the break may still run.
+	for f.openTransactions() > 0 {
+		time.Sleep(time.Millisecond)
+	}
 	s.transcript.Reset()
 	s.runLine("a: Query INSERT INTO kv (k, v) VALUES ('l', 'a')")
 	assert.Assert(t, strings.HasSuffix(s.transcript.String(), "ReadyForQuery E\n"), s.transcript.String())
