Decode organisations, their keys and quotas from the configuration

The daemon on the platform reads the organisations of a configuration into a directory of key digests, takes the key from the start of a session and can name an organisation when it opens an upstream connection.

--- a/config/managed.go
+++ b/config/managed.go
@@ -34,6 +34,18 @@
 	// LogLinesPerSecond and LogBytesPerSecond are rate limits for log lines about
 	// requests. Log lines about state changes are always written.
 	LogLinesPerSecond, LogBytesPerSecond int
+	// StrictRevocation is set if requests with keys must not run once RevocationTimeout has
+	// passed since a configuration removed their key.
+	StrictRevocation  bool
+	RevocationTimeout time.Duration
+	// QuotaWindow is the length of the sliding window in which the operations of an
+	// organisation are counted; 0 disables quotas. QuotaOverage is the tolerated fraction
+	// above the quota, QuotaSlack the tolerated number of operations beyond that.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   int
+	// UpstreamPace bounds the statements in flight at upstreams that start or recover.
+	UpstreamPace bool
 }
 
 // DefaultManagedSettings returns settings with the defaults of the optional fields.
@@ -45,6 +57,7 @@
 		LogLevel:          LogInfo,
 		LogLinesPerSecond: 20,
 		LogBytesPerSecond: 16 << 10,
+		RevocationTimeout: 5 * time.Second,
 	}
 }
 
@@ -96,6 +109,12 @@
 		field{"log_level", false, enum(d, &s.LogLevel, LogDebug, LogInfo, LogWarning, LogError)},
 		field{"log_lines_per_second", false, integer(d, &s.LogLinesPerSecond, 1, 100_000)},
 		field{"log_bytes_per_second", false, integer(d, &s.LogBytesPerSecond, 1<<10, 100<<20)},
+		field{"strict_revocation", false, d.boolean(&s.StrictRevocation)},
+		field{"revocation_timeout_ms", false, d.durationInUnits(&s.RevocationTimeout, time.Millisecond, time.Second, time.Hour)},
+		field{"quota_window_s", false, d.durationInUnits(&s.QuotaWindow, time.Second, time.Second, time.Hour)},
+		field{"quota_overage", false, d.number(&s.QuotaOverage, 0, 10)},
+		field{"quota_slack", false, integer(d, &s.QuotaSlack, 0, 1_000_000)},
+		field{"upstream_pace", false, d.boolean(&s.UpstreamPace)},
 	)
 	listeners := uniqueValues{}
 	listeners.add("$.caller_address", quoteIfSet(s.CallerAddress), &d.faults)
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
 
 // Code is the result of a statement. CodeNone means that it completed.
@@ -29,12 +30,15 @@
 	CodeUnknownDatabase
 	CodeMalformed
 	CodeTooLarge
+	// CodeUnauthenticated means that the configuration lists no organisation with the
+	// caller's key.
+	CodeUnauthenticated
 	// CodeOther is an upstream code that this version does not know.
 	CodeOther
 )
 
 var codeNames = [...]string{"none", "busy", "aborted", "lagging", "read_only", "misrouted", "connection_limit",
-	"in_doubt", "timeout", "failed", "unknown_statement", "unknown_database", "malformed", "too_large", "other"}
+	"in_doubt", "timeout", "failed", "unknown_statement", "unknown_database", "malformed", "too_large", "unauthenticated", "other"}
 
 // String returns the code as it appears in logs and metrics.
 func (c Code) String() string { return codeNames[c] }
@@ -93,9 +97,12 @@
 
 // Message is one protocol message from a caller.
 type Message struct {
-	Kind      MessageKind
-	Database  string
-	Statement Statement
+	Kind     MessageKind
+	Database string
+	// Credential is the API key of a caller, or what another proxy sends in its place, in a
+	// MessageStart.
+	Credential string
+	Statement  Statement
 }
 
 // MessageKind is the type of a caller's message.
@@ -218,7 +225,9 @@
 type Protocol interface {
 	// Dial connects to an upstream. It sends the database and upstream names, so that the
 	// peer can refuse the connection if the address has been reused by another upstream.
-	Dial(ctx context.Context, target Member) (UpstreamConn, error)
+	// identity names the organisation on whose behalf the connection is used; if it is
+	// empty, the connection is the proxy's own.
+	Dial(ctx context.Context, target Member, identity string) (UpstreamConn, error)
 	// DecodeStatus parses the reply to CommandStatus, CommandPause or CommandResume. It
 	// returns a *RefusedError if the reply has an error code.
 	DecodeStatus(Reply) (Status, error)
@@ -264,6 +273,8 @@
 	StatementTimeout, TargetLatency time.Duration
 	// Rank is the priority of the route; 0 is the most urgent.
 	Rank int
+	// Anonymous is set if callers need no key.
+	Anonymous bool
 }
 
 // DatabaseLimits are the configured limits of a database.
@@ -285,6 +296,9 @@
 	// TransactionIdleTimeout is the maximum time that a transaction may stay idle; 0 means
 	// no limit.
 	TransactionIdleTimeout time.Duration
+	// Organisations identifies callers by their keys. It is nil if the deployment has no
+	// organisations; callers need no key then.
+	Organisations *organisation.Directory
 	// Source is the configuration as it was read. It is served to other proxies.
 	Source []byte
 }
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -33,7 +33,7 @@
 	ordered := s.proxy.suspectedGateways.moveSuspectedLast(gateway.OrderByDistance(gateways, s.proxy.self(), uint64(now())))
 	for _, g := range ordered[:min(attempts, len(ordered))] {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.databaseName), Address: g.Address})
+		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.databaseName), Address: g.Address}, "")
 		cancel()
 		if err == nil {
 			return &remoteSession{conn: conn, vm: g.VM}
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -231,7 +231,7 @@
 func (n *node) dial(t testing.TB, database string) (*caller, *managed.RefusedError, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	conn, err := platform.LineProtocol{VM: "u1"}.Dial(ctx, managed.Member{Database: entity.Database(database), Address: n.address})
+	conn, err := platform.LineProtocol{VM: "u1"}.Dial(ctx, managed.Member{Database: entity.Database(database), Address: n.address}, "")
 	var refused *managed.RefusedError
 	if errors.As(err, &refused) {
 		return nil, refused, nil
--- a/internal/managed/memberconn.go
+++ b/internal/managed/memberconn.go
@@ -115,7 +115,7 @@
 
 // dialMember opens a connection that is not counted as pooled.
 func dialMember(ctx context.Context, protocol Protocol, m *member, entry Member) (*memberConn, error) {
-	conn, err := protocol.Dial(ctx, entry)
+	conn, err := protocol.Dial(ctx, entry, "")
 	if err != nil {
 		return nil, err
 	}
