Make fewer calls to a store that does not answer

After the partition they read from the store for seconds, since their watchers had not answered during it. Change: a failed renewal is repeated, and the store gets no other calls while it fails. A conflict tells the revision of the key. Watchers are asked again after a failure of the store. The calls are counted by type in a log line.

--- a/core/gateway/source.go
+++ b/core/gateway/source.go
@@ -95,6 +95,10 @@
 // RecordStore records the outcome of a read from the store.
 func (s *WatchSource) RecordStore(now entity.Time, answered bool) {
 	if answered {
+		if s.store.duration > 0 {
+			// This proxy was probably cut off from the watchers as well, so they are asked again.
+			clear(s.failures)
+		}
 		s.store = pause{}
 		return
 	}
--- a/core/gateway/source_test.go
+++ b/core/gateway/source_test.go
@@ -83,3 +83,23 @@
 	s.Next(1, watchers, watchers[0].VM)
 	assert.Equal(t, len(s.failures), 0)
 }
+
+// Guards against followers that read from the store for seconds after a partition has
+// healed, because their watchers did not answer during it.
+func TestWatchersAreAskedAgainAfterAPartition(t *testing.T) {
+	watchers := Watchers(fleetWithStatus(12, 1), "zone-0")
+	var source WatchSource
+	at := entity.Time(time.Hour)
+	for _, w := range watchers {
+		source.RecordFailure(at, w.VM, true)
+	}
+	_, ok := source.Next(at, watchers, "vm-x")
+	assert.Assert(t, !ok)
+	source.RecordStore(at, true)
+	_, ok = source.Next(at, watchers, "vm-x")
+	assert.Assert(t, !ok, "the store did not fail, so the watchers did")
+	source.RecordStore(at, false)
+	source.RecordStore(at.Add(time.Second), true)
+	_, ok = source.Next(at.Add(time.Second), watchers, "vm-x")
+	assert.Assert(t, ok)
+}
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -316,6 +316,18 @@
 	ErrNotApplied = errors.New("the call was refused")
 )
 
+// ConflictError is an ErrConflict that tells the current revision of the key, 0 if the key
+// does not exist.
+type ConflictError struct{ Revision uint64 }
+
+// Error returns the current revision.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("condition does not hold: the key has revision %d", e.Revision)
+}
+
+// Is reports that a ConflictError is an ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
 // Change is one store entry that was listed, written or removed.
 type Change struct {
 	Revision uint64
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -266,6 +266,12 @@
 	}).Info("pool in use")
 }
 
+func (e *events) logStoreCalls(calls logrus.Fields) {
+	if calls != nil {
+		e.line("store_calls").WithFields(calls).Info("calls to the store")
+	}
+}
+
 func (e *events) memberResumed(db entity.Database, name entity.Upstream, err error) {
 	entry := e.line("upstream_resumed").WithFields(logrus.Fields{"database": db, "peer": name})
 	if err != nil {
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -42,7 +42,9 @@
 	events  *events
 	// observer is nil if metrics are disabled.
 	observer *observer
-	drain    drainSchedule
+	// store is the store of the options with its calls counted.
+	store *countedStore
+	drain drainSchedule
 	// effective are the current settings; see Reload.
 	effective atomic.Pointer[config.ManagedSettings]
 
@@ -77,8 +79,11 @@
 
 // New returns a Proxy. Call Serve to run it.
 func New(options Options) *Proxy {
+	store := &countedStore{Store: options.Store}
+	options.Store = store
 	p := &Proxy{
 		options:          options,
+		store:            store,
 		events:           newEvents(options.Log, options.Settings.VM),
 		databases:        map[entity.Database]*database{},
 		databaseByMember: map[entity.Upstream]*database{},
@@ -210,6 +215,7 @@
 			return
 		case <-ticker.C:
 			p.events.logOmitted()
+			p.events.logStoreCalls(p.store.logFields())
 			p.logPools()
 		}
 	}
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -98,7 +98,7 @@
 		}
 	}
 	s.setWatcher("")
-	if follows && !s.source.StoreDue(now()) {
+	if s.renewalFails.Load() || follows && !s.source.StoreDue(now()) {
 		return nil, 0, errStorePaused
 	}
 	changes, revision, err := s.watchStore(ctx)
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -82,6 +82,9 @@
 	// storeLost is set while the store does not answer.
 	storeLost atomic.Bool
 	lease     uint64
+	// renewalFails is set while the renewal of the lease fails. The store gets no other calls
+	// then: a renewal costs a tenth of a watch.
+	renewalFails atomic.Bool
 	// reregister signals that the proxy's own entry was removed from the store.
 	reregister chan struct{}
 	// listed is closed after the first listing. ownRevision is the revision of the entry
@@ -211,6 +214,11 @@
 	if s.startedAt == 0 {
 		s.startedAt = now()
 		close(s.listed)
+		if len(s.watchers()) == 0 {
+			// The other proxies of a fleet that starts register within this time, so that most
+			// proxies find a watcher and do not watch the store themselves.
+			sleep(ctx, coalesceMax)
+		}
 	}
 	return nil
 }
@@ -283,6 +291,7 @@
 // shutdown begins.
 func (s *storeSync) keepRegistered(ctx context.Context) {
 	listed := false
+	defer s.renewalFails.Store(false)
 	select {
 	case <-s.listed:
 	case <-time.After(storeTimeout):
@@ -307,9 +316,13 @@
 		}
 		if err := s.registerOrRenew(ctx, listed); err != nil {
 			if errors.Is(err, ErrLeaseExpired) {
-				s.lease = 0
+				// The entry has ended with the lease.
+				s.lease, listed = 0, false
+				s.ownRevision.Store(0)
 			}
-			listed = false
+			// The entry exists as long as its lease, so a failed renewal is repeated: it costs a
+			// tenth of writing the entry again.
+			s.renewalFails.Store(listed)
 			s.proxy.events.storeFailed("register", err)
 			if cancel := s.cancelWatch.Load(); cancel != nil {
 				(*cancel)()
@@ -318,6 +331,7 @@
 			backoff = min(2*backoff, maxRegisterBackoff)
 			continue
 		}
+		s.renewalFails.Store(false)
 		listed, backoff = true, maxSyncBackoff
 		timer.Reset(vmRenewal)
 	}
@@ -352,7 +366,7 @@
 		return err
 	}
 	// The entry was written or has expired since the last change that this proxy read.
-	_, revision, err := store.Get(ctx, key)
+	revision, err := currentRevision(ctx, store, key, err)
 	if err != nil {
 		return err
 	}
@@ -360,6 +374,16 @@
 	return err
 }
 
+// currentRevision returns the revision of a key after a conflict, which usually tells it.
+func currentRevision(ctx context.Context, store Store, key string, conflict error) (uint64, error) {
+	var told *ConflictError
+	if errors.As(conflict, &told) {
+		return told.Revision, nil
+	}
+	_, revision, err := store.Get(ctx, key)
+	return revision, err
+}
+
 // unregister revokes the lease, which frees the proxy's share of connections at once.
 func (s *storeSync) unregister() {
 	if s.lease == 0 {
