Collect garbage at 40% of growth in the managed daemon

Cause: a proxy's heap is a few MB of session state, of which the default of 100% keeps as much again.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,7 +63,12 @@
 // blocked.
 const logQueueLines = 4096
 
+// gcPercent makes the garbage collector keep the heap close to its live size. The heap is a few
+// MB, so collections cost little, and small VMs have little memory for their sessions.
+const gcPercent = 40
+
 func runManaged(ctx context.Context, env *Environment, file string, settings *config.ManagedSettings) error {
+	debug.SetGCPercent(gcPercent)
 	out := telemetry.NewLineWriter(env.Stdout, logQueueLines)
 	defer out.Close()
 	log, err := newLogger(out, settings.LogLevel)
