flood: keep callers with many items in buckets of their own

Callers are hashed to 64 buckets. Two organisations in one bucket shared its turn, so that the items of a small one waited behind the queue of a large one. Items with SharedCaller go to the bucket that holds their caller's items, else to an empty one. Other items keep their buckets.

--- a/core/flood/admission.go
+++ b/core/flood/admission.go
@@ -48,6 +48,9 @@
 		rank:          int32(rank),
 		callerBucket:  bucketOf(item.Caller, s.seed),
 	}
+	if item.SharedCaller {
+		n.callerBucket = s.lanes[item.Lane].ranks[rank].queue(item.Retry).bucketOfShared(&s.slab, item.Caller, n.callerBucket)
+	}
 }
 
 // refusalReason returns the reason to refuse a new item, ReasonNone to admit it.
--- a/core/flood/api.go
+++ b/core/flood/api.go
@@ -49,11 +49,15 @@
 	// Rank is the index into Policy.Ranks. Values out of range are clamped.
 	Rank int
 	// Caller identifies the caller for round-robin service within a rank.
-	Caller   uint64
-	Lane     Lane
-	Retry    bool
-	Arrived  entity.Time
-	Deadline entity.Time
+	Caller uint64
+	// SharedCaller is set if the caller may have many items queued at once, for example an
+	// organisation. As long as at most numBuckets such callers have queued items, none of
+	// them waits behind the queue of another one. Other callers share buckets at random.
+	SharedCaller bool
+	Lane         Lane
+	Retry        bool
+	Arrived      entity.Time
+	Deadline     entity.Time
 	// Cost is the expected slot time, 0 if unknown.
 	Cost time.Duration
 }
--- a/core/flood/roundrobin.go
+++ b/core/flood/roundrobin.go
@@ -33,6 +33,23 @@
 	return uint8(hash64(caller^seed) % numBuckets)
 }
 
+// bucketOfShared returns the bucket of a caller with possibly many items: the one that holds
+// its queued items, else the first empty one from its home bucket on, else the home bucket.
+// A bucket belongs to the caller of its first item.
+func (q *roundRobinQueue) bucketOfShared(s *slab, caller uint64, home uint8) uint8 {
+	for mask := q.nonEmptyMask; mask != 0; mask &= mask - 1 {
+		b := bits.TrailingZeros64(mask)
+		if s.at(q.buckets[b].head).item.Caller == caller {
+			return uint8(b)
+		}
+	}
+	empty := bits.RotateLeft64(^q.nonEmptyMask, -int(home))
+	if empty == 0 {
+		return home
+	}
+	return (home + uint8(bits.TrailingZeros64(empty))) % numBuckets
+}
+
 func (q *roundRobinQueue) push(s *slab, id nodeID) {
 	n := s.at(id)
 	b := &q.buckets[n.callerBucket]
