Identify callers by their keys and keep connections by organisation

A session keeps the digest of its key and is identified at its start, at each statement and right before a statement is sent. An unknown key is answered with UNAUTH, a key that moved rolls an open transaction back. A request runs only on a connection that was opened for its organisation; if the connection share is used up, the longest idle connection of another one is closed first. Towards a gateway the proxy names the organisation.

--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -88,6 +88,9 @@
 	if p == nil {
 		return refused, true
 	}
+	if reply, final, ok := a.recheckCaller(p); !ok {
+		return reply, final
+	}
 	if err := a.connect(p); err != nil {
 		return a.handleDialFailure(p, err)
 	}
@@ -97,6 +100,9 @@
 			return reply, reply.Code != CodeNone
 		}
 	}
+	if reply, final, ok := a.recheckCaller(p); !ok {
+		return reply, final
+	}
 	sent := now()
 	reply, err := a.exchange(p, statement, floor, a.replyDeadline(p, writes))
 	if err != nil {
@@ -151,7 +157,7 @@
 // acquire waits for a permit. On refusal the permit is nil and the reply is set.
 func (a *attempt) acquire() (*permit, Reply) {
 	start := now()
-	p, refusal := a.db.acquire(a.lane, a.route.Rank, a.queueDeadline(), a.session.state.variablesKey)
+	p, refusal := a.db.acquire(a.lane, a.route.Rank, a.queueDeadline(), a.session.poolKey())
 	addElapsed(&a.session.stages.queue, start)
 	if refusal != nil {
 		return nil, refusedReply(refusal)
@@ -165,6 +171,23 @@
 	return p, Reply{}
 }
 
+// recheckCaller identifies the caller again after a wait. If the request must not be sent
+// with the permit, it releases the permit and reports false with the reply; final is false
+// if the request should be tried again.
+func (a *attempt) recheckCaller(p *permit) (reply Reply, final, ok bool) {
+	s := a.session
+	if !s.callerChanged(p.organisation) {
+		return Reply{}, false, true
+	}
+	a.db.cancelPermit(p)
+	reply = s.changedReply()
+	if reply.Code == CodeBusy {
+		reply, final = a.retryOrReturn(reply)
+		return reply, final, false
+	}
+	return reply, true, false
+}
+
 // connect opens the permit's connection if necessary.
 func (a *attempt) connect(p *permit) error {
 	at := now()
@@ -361,7 +384,11 @@
 // obtainConfirmation acquires a connection to the primary and confirms it. It reports true
 // with the reply if the statement must fail.
 func (a *attempt) obtainConfirmation() (Reply, bool) {
-	p, refusal := a.db.acquire(flood.LanePrimary, a.route.Rank, a.deadline, a.session.state.variablesKey)
+	// The confirmation runs no statement of the caller. A connection opened for it serves
+	// the caller's organisation next.
+	key := a.session.poolKey()
+	key.anyOrganisation = true
+	p, refusal := a.db.acquire(flood.LanePrimary, a.route.Rank, a.deadline, key)
 	if refusal != nil {
 		return refusedReply(refusal), true
 	}
--- a/internal/managed/changegateway.go
+++ b/internal/managed/changegateway.go
@@ -52,7 +52,7 @@
 // before it knew the gateways, or when none could be reached, and takes connections that
 // are the gateways' share.
 func (s *session) moveToGateway(at entity.Time) {
-	if s.fromPeer || s.tx != nil || at < s.nextMove || s.remote != nil && s.remote.inTransaction {
+	if s.fromPeer || s.tx != nil || at < s.nextMove || s.remote != nil && s.remote.inTransaction() {
 		return
 	}
 	route, ok := s.proxy.route(s.databaseName)
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -4,10 +4,13 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/flood"
 	"skylarkhinge.dev/skylarkhinge/core/freshness"
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
 	"skylarkhinge.dev/skylarkhinge/core/placement"
 )
 
@@ -64,12 +67,13 @@
 
 // waiter is a request waiting for a permit.
 type waiter struct {
-	item         flood.Item
-	variablesKey string
-	granted      chan grant
+	item    flood.Item
+	key     poolKey
+	granted chan grant
 }
 
-// grant is the scheduler's decision for a waiter: a permit or a refusal.
+// grant is the scheduler's decision for a waiter: a permit or a refusal. If both are nil,
+// the request must be queued again after deferInterval.
 type grant struct {
 	permit  *permit
 	refusal *flood.Refusal
@@ -83,6 +87,12 @@
 	conn      *memberConn
 	item      flood.Item
 	startedAt entity.Time
+	// organisation is the organisation for which a connection is opened. reserved is set
+	// while the connection to be opened counts towards the member's openConns; evicted is
+	// the connection that it replaces, nil if none.
+	organisation organisation.Name
+	reserved     bool
+	evicted      *memberConn
 	// finished is set once the execution slot is released, or if the permit takes none.
 	finished bool
 	// onPrimary is set if the member was the believed primary when the permit was granted.
@@ -105,8 +115,19 @@
 
 // acquire queues a request and blocks until it is granted a permit or refused. Requests in
 // LanePrimary run on the primary; reads in LaneReplica may run on any member.
-func (d *database) acquire(lane flood.Lane, rank int, deadline entity.Time, variablesKey string) (*permit, *flood.Refusal) {
-	w := &waiter{variablesKey: variablesKey, granted: make(chan grant, 1)}
+func (d *database) acquire(lane flood.Lane, rank int, deadline entity.Time, key poolKey) (*permit, *flood.Refusal) {
+	for {
+		permit, refusal := d.queue(lane, rank, deadline, key)
+		if permit != nil || refusal != nil {
+			return permit, refusal
+		}
+		time.Sleep(deferInterval)
+	}
+}
+
+// queue queues a request once. Both results are nil if the request must be queued again.
+func (d *database) queue(lane flood.Lane, rank int, deadline entity.Time, key poolKey) (*permit, *flood.Refusal) {
+	w := &waiter{key: key, granted: make(chan grant, 1)}
 	d.mu.Lock()
 	at := now()
 	d.lastStatementAt = at
@@ -115,6 +136,9 @@
 		Handle: d.lastHandle, Rank: rank, Caller: uint64(d.lastHandle), Lane: lane,
 		Arrived: at, Deadline: deadline, Cost: expectedCost,
 	}
+	if key.organisation != "" {
+		w.item.Caller, w.item.SharedCaller = xxhash.Sum64String(string(key.organisation)), true
+	}
 	d.waiting[w.item.Handle] = w
 	if decision := d.scheduler.Offer(at, w.item); decision.Reason != flood.ReasonNone {
 		delete(d.waiting, w.item.Handle)
@@ -137,13 +161,13 @@
 func (d *database) dispatch(at entity.Time) {
 	for d.scheduler.Len(flood.LanePrimary) > 0 {
 		m := d.primary
-		if m == nil || !d.acceptsWork(m, at) || !m.hasConnection(at, d.connectionShare) || m.inFlight >= d.maxInFlight(m) {
+		if m == nil || !d.acceptsWork(m, at) || !m.hasConnection(at, d.connectionShare, &ownWork) || m.inFlight >= d.maxInFlight(m) {
 			break
 		}
 		d.grantNext(at, flood.LanePrimary, m)
 	}
 	for d.scheduler.Len(flood.LaneReplica) > 0 {
-		m := d.chooseReader(at)
+		m := d.chooseReader(at, &ownWork)
 		if m == nil {
 			break
 		}
@@ -158,26 +182,33 @@
 	}
 	w := d.waiting[item.Handle]
 	delete(d.waiting, item.Handle)
-	p := &permit{db: d, member: m, item: item, startedAt: at, onPrimary: m == d.primary}
-	if p.conn = m.takeIdle(w.variablesKey); p.conn == nil {
-		m.openConns++
+	if lane == flood.LaneReplica && w.key.organisation != "" {
+		// Another member may have an idle connection of the organisation.
+		m = d.chooseReader(at, &w.key)
+	}
+	if m == nil || !m.hasConnection(at, d.connectionShare, &w.key) {
+		d.scheduler.Done(at, item, 0)
+		w.granted <- grant{}
+		return
 	}
+	p := &permit{db: d, member: m, item: item, startedAt: at, onPrimary: m == d.primary}
+	p.assignConn(at, &w.key)
 	m.inFlight++
 	w.granted <- grant{permit: p}
 }
 
-// chooseReader returns the member for the next read, nil if none has capacity. The mutex is
-// held.
-func (d *database) chooseReader(at entity.Time) *member {
+// chooseReader returns the member for the next read with a connection that the key accepts,
+// nil if none has capacity. The mutex is held.
+func (d *database) chooseReader(at entity.Time, key *poolKey) *member {
 	var best *member
 	var bestCandidate placement.Candidate
 	for _, m := range d.members {
-		if !d.acceptsWork(m, at) || !m.hasConnection(at, d.connectionShare) || at < m.lagUntil || m.leavingSince != 0 || m.inFlight >= d.maxInFlight(m) {
+		if !d.acceptsWork(m, at) || !m.hasConnection(at, d.connectionShare, key) || at < m.lagUntil || m.leavingSince != 0 || m.inFlight >= d.maxInFlight(m) {
 			continue
 		}
 		c := placement.Candidate{
 			Name: m.name, Distance: m.distance, Running: m.inFlight, Slots: m.entry.Slots,
-			Primary: m == d.primary, Latency: m.latency, Connected: len(m.idleConns) > 0,
+			Primary: m == d.primary, Latency: m.latency, Connected: m.hasIdle(key),
 		}
 		if best == nil || placement.Better(c, bestCandidate) {
 			best, bestCandidate = m, c
@@ -321,6 +352,22 @@
 		}
 		p.conn = nil
 	}
+	p.releaseReservation()
+	at := now()
+	d.dispatch(at)
+	d.armTimer(at)
+}
+
+// cancelPermit releases a permit that was not used. Its connection stays in the pool.
+func (d *database) cancelPermit(p *permit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.finishPermit(p, false)
+	if p.conn != nil {
+		d.returnConn(p.conn)
+		p.conn = nil
+	}
+	p.releaseReservation()
 	at := now()
 	d.dispatch(at)
 	d.armTimer(at)
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -135,6 +135,17 @@
 	}).WithFields(s.stages.logFields()).Info("request answered late")
 }
 
+// callerUnknown logs that the configuration lists no organisation with a caller's key. The
+// key itself never appears in a log line.
+func (e *events) callerUnknown(s *session, version uint64) {
+	if !e.admit(CodeUnauthenticated) {
+		return
+	}
+	e.request("caller_unknown").WithFields(logrus.Fields{
+		"database": s.databaseName, "document": version, "key_digest": s.identity.digestPrefix(), "caller": s.caller.Address(),
+	}).Info("key is unknown")
+}
+
 // transactionEnded logs a transaction that the proxy aborted between statements.
 func (e *events) transactionEnded(s *session, reason string) {
 	if e.admit(CodeAborted) {
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -30,13 +30,13 @@
 	if gateways == nil {
 		return nil
 	}
-	ordered := s.proxy.suspectedGateways.moveSuspectedLast(gateway.OrderByDistance(gateways, s.proxy.self(), uint64(now())))
+	ordered := s.proxy.suspectedGateways.moveSuspectedLast(gateway.OrderByDistance(gateways, s.proxy.self(), s.gatewayOrderKey()))
 	for _, g := range ordered[:min(attempts, len(ordered))] {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.databaseName), Address: g.Address}, "")
+		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.databaseName), Address: g.Address}, gatewayIdentity(s.identity.organisation))
 		cancel()
 		if err == nil {
-			return &remoteSession{conn: conn, vm: g.VM}
+			return &remoteSession{conn: conn, vm: g.VM, organisation: s.identity.organisation}
 		}
 		s.proxy.suspectedGateways.add(g.VM)
 		s.proxy.events.rateLimited("hand_over_failed", "hand_over", string(g.VM), nil, err)
--- a/internal/managed/idlecheck.go
+++ b/internal/managed/idlecheck.go
@@ -26,7 +26,7 @@
 		return
 	}
 	m.openConns++
-	p := &permit{db: d, member: m, finished: true} // holds no execution slot
+	p := &permit{db: d, member: m, reserved: true, finished: true} // holds no execution slot
 	d.mu.Unlock()
 	deadline := now().Add(connectTimeout)
 	if err := p.connect(deadline); err != nil {
@@ -67,7 +67,7 @@
 	confirmed := at.Sub(d.confirmedPositions.Newest().Sent) < idleConfirmationInterval
 	var conn *memberConn
 	if !confirmed {
-		conn = primary.takeIdle("")
+		conn = primary.takeIdle(&ownWork)
 	}
 	d.mu.Unlock()
 	switch {
@@ -108,7 +108,7 @@
 	due := at.Sub(d.lastReadAt) < recentReadWindow && d.lastReadAt != 0 && at.Sub(d.confirmedPositions.Newest().Sent) > confirmationRenewalAge
 	var conn *memberConn
 	if due && d.primary != nil {
-		conn = d.primary.takeIdle("")
+		conn = d.primary.takeIdle(&ownWork)
 	}
 	d.mu.Unlock()
 	if conn == nil {
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -30,9 +30,10 @@
 // member is this proxy's state of one upstream. It is guarded by the database's mutex.
 type member struct {
 	// name is immutable, so it may be read without the mutex.
-	name      entity.Upstream
-	entry     Member
-	distance  int
+	name     entity.Upstream
+	entry    Member
+	distance int
+	// idleConns are ordered by the time at which they became idle, the oldest first.
 	idleConns []*memberConn
 	// openConns counts the pooled connections, including those being opened.
 	openConns int
@@ -43,6 +44,9 @@
 	pauseUntil      entity.Time
 	lagUntil        entity.Time
 	noNewConnsUntil entity.Time
+	// noReplacementUntil is set while the member refuses even a new connection that
+	// replaces one just closed.
+	noReplacementUntil entity.Time
 	// lagSince is the first read refused as lagging since the member last completed a
 	// statement, zero if there was none.
 	lagSince entity.Time
@@ -61,14 +65,6 @@
 	return !m.removed && at >= m.pauseUntil
 }
 
-// hasConnection reports whether an idle connection exists or a new one may be opened.
-func (m *member) hasConnection(at entity.Time, share int) bool {
-	if len(m.idleConns) > 0 {
-		return true
-	}
-	return m.openConns < share && at >= m.noNewConnsUntil
-}
-
 // idleTimeout is how long a connection beyond minPooledConns stays idle before it is
 // closed. The connections of a proxy that lost power count at the upstream for another 3 s,
 // while the restarted proxy needs connections at once. With 4 s, the proxies held three
@@ -97,28 +93,6 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection, preferably one with the given session
-// variables, else one without any. It returns nil if none is idle. The mutex is held.
-func (m *member) takeIdle(variablesKey string) *memberConn {
-	n := len(m.idleConns)
-	if n == 0 {
-		return nil
-	}
-	best := n - 1
-	for i := n - 1; i >= 0; i-- {
-		if m.idleConns[i].variablesKey == variablesKey {
-			best = i
-			break
-		}
-		if m.idleConns[i].variablesKey == "" && m.idleConns[best].variablesKey != "" {
-			best = i
-		}
-	}
-	conn := m.idleConns[best]
-	m.idleConns = append(m.idleConns[:best], m.idleConns[best+1:]...)
-	return conn
-}
-
 // recordFailure records a failed connection and pauses the member.
 func (m *member) recordFailure(at entity.Time) {
 	m.failures++
--- a/internal/managed/memberconn.go
+++ b/internal/managed/memberconn.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
 
 // maxPreparedPerConn bounds the prepared statements on one upstream connection. A
@@ -19,6 +20,9 @@
 type memberConn struct {
 	upstream UpstreamConn
 	member   *member
+	// organisation is the organisation for which the connection was opened, empty if it was
+	// opened for the proxy itself or for callers without an organisation.
+	organisation organisation.Name
 	// variablesKey encodes the session variables set on the connection; see sessionState.
 	variablesKey string
 	prepared     map[string]struct{}
@@ -113,11 +117,12 @@
 	return commands
 }
 
-// dialMember opens a connection that is not counted as pooled.
-func dialMember(ctx context.Context, protocol Protocol, m *member, entry Member) (*memberConn, error) {
-	conn, err := protocol.Dial(ctx, entry, "")
+// dialMember opens a connection for an organisation, empty for the proxy's own use. It is
+// not counted as pooled.
+func dialMember(ctx context.Context, protocol Protocol, m *member, entry Member, owner organisation.Name) (*memberConn, error) {
+	conn, err := protocol.Dial(ctx, entry, string(owner))
 	if err != nil {
 		return nil, err
 	}
-	return &memberConn{upstream: conn, member: m, lastUsed: now()}, nil
+	return &memberConn{upstream: conn, member: m, organisation: owner, lastUsed: now()}, nil
 }
--- a/internal/managed/metrics.go
+++ b/internal/managed/metrics.go
@@ -27,6 +27,25 @@
 	return o.metrics.ForClass(route.Consistency.String(), rankName(route.Rank), route.Consistency != StrictConsistency)
 }
 
+// countOpened, countEviction and countUnknownKey do nothing if metrics are disabled.
+func (o *observer) countOpened() {
+	if o != nil {
+		o.metrics.CountConnectionOpened()
+	}
+}
+
+func (o *observer) countEviction() {
+	if o != nil {
+		o.metrics.CountConnectionEvicted()
+	}
+}
+
+func (o *observer) countUnknownKey() {
+	if o != nil {
+		o.metrics.CountUnknownKey()
+	}
+}
+
 func rankName(rank int) string { return strconv.Itoa(min(rank, maxRanks-1)) }
 
 // statement records the result of a statement whose database name has a route.
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -29,16 +29,22 @@
 	limit := min(connectTimeout, deadline.Sub(at))
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	conn, err := dialMember(ctx, d.proxy.options.Protocol, m, entry)
+	p.closeEvicted()
+	conn, err := dialMember(ctx, d.proxy.options.Protocol, m, entry, p.organisation)
+	p.reserved = false
 	if err == nil {
 		conn.pooled = true
 		p.conn = conn
+		d.proxy.observer.countOpened()
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m.openConns--
 	d.recordDialFailure(m, err)
+	if p.evicted != nil && m.noNewConnsUntil > m.noReplacementUntil {
+		m.noReplacementUntil = m.noNewConnsUntil
+	}
 	return err
 }
 
--- a/internal/managed/query.go
+++ b/internal/managed/query.go
@@ -38,7 +38,7 @@
 	r := statusReport{member: m}
 	d.mu.Lock()
 	r.entry = m.entry
-	conn := m.takeIdle("")
+	conn := m.takeIdle(&ownWork)
 	d.mu.Unlock()
 	deadline := time.Now().Add(probeTimeout)
 	if conn != nil {
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(probeTimeout/3))
 	defer cancel()
-	if conn, r.err = dialMember(ctx, d.proxy.options.Protocol, m, r.entry); r.err == nil {
+	if conn, r.err = dialMember(ctx, d.proxy.options.Protocol, m, r.entry, ""); r.err == nil {
 		r.status, r.err = mon.queryOver(conn, command, deadline.Add(probeTimeout/3))
 	}
 	if r.err != nil {
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -18,7 +18,10 @@
 	proxy        *Proxy
 	caller       CallerConn
 	databaseName string
-	state        sessionState
+	// route is the route by which the session started.
+	route    Route
+	identity callerIdentity
+	state    sessionState
 
 	// fromPeer is set if another proxy handed this session over.
 	fromPeer bool
@@ -75,11 +78,18 @@
 		return false
 	}
 	s.databaseName = message.Database
+	s.setCredential(message.Credential)
 	route, ok := s.proxy.awaitRoute(s.databaseName)
 	if !ok {
 		s.rejectUnknown()
 		return false
 	}
+	if !s.identify() {
+		s.proxy.observer.countUnknownKey()
+		s.reject(CodeUnauthenticated, unauthenticated)
+		return false
+	}
+	s.route = route
 	s.remote = s.handOver(route, handOverAttempts)
 	s.nextMove = now().Add(moveDelay)
 	return s.caller.Accept() == nil
@@ -116,7 +126,7 @@
 // pinned reports whether the session holds a transaction open at an upstream or a gateway.
 func (s *session) pinned() bool {
 	if s.remote != nil {
-		return s.remote.inTransaction
+		return s.remote.inTransaction()
 	}
 	return s.tx != nil && s.tx.conn != nil
 }
@@ -153,18 +163,7 @@
 func (s *session) serveStatement(statement *Statement) bool {
 	arrived := now()
 	s.stages = stages{}
-	s.moveToGateway(arrived)
-	var reply Reply
-	var state TransactionState
-	closeSession := false
-	switch {
-	case statement.Kind == StatementSet && statement.Name == lastWriteVariable && !s.fromPeer:
-		reply, state = errorReply(CodeMalformed, "name of the session value is reserved"), s.transactionState()
-	case s.remote != nil:
-		reply, state, closeSession = s.executeRemote(statement, arrived)
-	default:
-		reply, state = s.execute(statement, arrived)
-	}
+	reply, state, closeSession := s.dispatch(statement, arrived)
 	reply.Position = entity.Position{}
 	if s.fromPeer {
 		// The proxy that handed the session over needs the position to move the session if
@@ -180,6 +179,28 @@
 	return !s.proxy.drain.outOfRotation() || state != StateIdle
 }
 
+// dispatch executes a statement here or at the session's gateway. closeSession is set if
+// the session must end after the reply.
+func (s *session) dispatch(statement *Statement, arrived entity.Time) (reply Reply, state TransactionState, closeSession bool) {
+	if statement.Kind == StatementSet && statement.Name == lastWriteVariable && !s.fromPeer {
+		return errorReply(CodeMalformed, "name of the session value is reserved"), s.transactionState(), false
+	}
+	known := s.identify()
+	if known {
+		s.moveToGateway(arrived)
+	}
+	if reply, ok := s.checkCaller(statement, arrived); !ok {
+		return reply, s.transactionState(), false
+	}
+	s.leaveStaleGateway()
+	// Without a known caller only statements that change nothing but session values remain.
+	if s.remote != nil && s.tx == nil && (known || s.remote.inTransaction()) {
+		return s.executeRemote(statement, arrived)
+	}
+	reply, state = s.execute(statement, arrived)
+	return reply, state, false
+}
+
 // reportStatement records metrics and logs a statement that failed or exceeded its target
 // latency.
 func (s *session) reportStatement(statement *Statement, reply Reply, took time.Duration) {
@@ -221,13 +242,13 @@
 }
 
 func (s *session) transactionState() TransactionState {
-	if s.remote != nil && s.remote.inTransaction {
-		return StateOpen
-	}
-	if s.tx == nil {
-		return StateIdle
+	switch {
+	case s.tx != nil:
+		return s.tx.state
+	case s.remote != nil:
+		return s.remote.state
 	}
-	return s.tx.state
+	return StateIdle
 }
 
 // executeLocal executes statements that only change session state.
@@ -260,7 +281,7 @@
 	}
 	s.tx = &transaction{
 		session: s, route: route, db: s.proxy.database(route.Database),
-		readOnly: statement.Kind == StatementBeginRead, state: StateOpen,
+		readOnly: statement.Kind == StatementBeginRead, state: StateOpen, organisation: s.identity.organisation,
 	}
 	return Reply{}, StateOpen
 }
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -5,6 +5,7 @@
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/flood"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
 
 // rollbackTimeout bounds the write of a rollback whose reply is not awaited.
@@ -18,6 +19,10 @@
 	db       *database
 	readOnly bool
 	state    TransactionState
+	// organisation is the organisation for which the transaction began. admitted is set once
+	// its first statement that goes to an upstream was admitted.
+	organisation organisation.Name
+	admitted     bool
 	// conn is the upstream connection, pinned from the first statement to the end.
 	conn *memberConn
 	// wrote is set once a statement that modifies data has completed.
@@ -110,6 +115,9 @@
 	if p == nil {
 		return refused, true
 	}
+	if reply, final, ok := a.recheckCaller(p); !ok {
+		return reply, final
+	}
 	if err := a.connect(p); err != nil {
 		return a.handleDialFailure(p, err)
 	}
@@ -120,6 +128,9 @@
 		}
 		command.MinPosition = floor
 	}
+	if reply, final, ok := a.recheckCaller(p); !ok {
+		return reply, final
+	}
 	sent := now()
 	defer addElapsed(&t.session.stages.run, sent)
 	commands := append(p.conn.sessionSetup(&t.session.state, nil), command)
@@ -156,6 +167,9 @@
 	defer addElapsed(&s.stages.run, now())
 	s.stages.member = t.conn.member.name
 	for {
+		if s.callerChanged(t.organisation) {
+			return s.failTransaction(statement, s.changedReply()), s.transactionState()
+		}
 		s.stages.tries++
 		commands := append(t.conn.sessionSetup(&s.state, statement), s.state.command(statement, entity.Position{}))
 		sent := now()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,6 +41,8 @@
 	rounds, primaryChanges, promotions   metric.Int64Counter
 	documents, peerStreams, omittedLines metric.Int64Counter
 
+	callersRefused, connectionsOpened, connectionsEvicted metric.Int64Counter
+
 	mu              sync.Mutex
 	classes         map[classKey]*ClassMetrics
 	databases       map[string]*DatabaseMetrics
@@ -97,6 +99,9 @@
 	m.promotions = m.counter("promotions", "Promotions that this proxy carried out.")
 	m.documents = m.counter("documents", "Document revisions that took force or were refused.")
 	m.peerStreams = m.counter("peer_streams_ended", "Streams of forwarded requests to peers that ended.")
+	m.callersRefused = m.counter("unknown_keys", "Sessions and operations refused because the caller's key is unknown.")
+	m.connectionsOpened = m.counter("upstream_connections_opened", "Connections opened to upstreams for callers' requests.")
+	m.connectionsEvicted = m.counter("upstream_connections_evicted", "Idle connections closed to make room for one of another organisation.")
 	m.omittedLines = m.counter("log_lines_omitted", "Log lines left out because they repeat.")
 }
 
@@ -109,6 +114,16 @@
 // CountPeerStreamEnded counts the end of a stream to a peer.
 func (m *Metrics) CountPeerStreamEnded() { m.peerStreams.Add(background, 1) }
 
+// CountUnknownKey counts a session or an operation refused because the caller's key is
+// unknown.
+func (m *Metrics) CountUnknownKey() { m.callersRefused.Add(background, 1) }
+
+// CountConnectionOpened counts a connection opened to an upstream for a caller's request.
+func (m *Metrics) CountConnectionOpened() { m.connectionsOpened.Add(background, 1) }
+
+// CountConnectionEvicted counts an idle connection closed in favour of another organisation.
+func (m *Metrics) CountConnectionEvicted() { m.connectionsEvicted.Add(background, 1) }
+
 // CountOmittedLine counts a log line that was omitted because it repeats.
 func (m *Metrics) CountOmittedLine() { m.omittedLines.Add(background, 1) }
 
