--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -20,6 +20,7 @@
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/internal/managed"
+	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 	"skylarkhinge.dev/skylarkhinge/platform"
 	"skylarkhinge.dev/skylarkhinge/platform/standin"
 )
@@ -64,6 +65,9 @@
 	connections int
 	routes      []standin.Route
 	nodes       []*node
+	// observed enables metrics and the recording of callers' messages at proxies started
+	// later.
+	observed bool
 	// logOutput replaces the log output of proxies started later, if set.
 	logOutput io.Writer
 }
@@ -71,6 +75,7 @@
 // node is one proxy of a fleet.
 type node struct {
 	proxy    *managed.Proxy
+	metrics  *telemetry.Metrics
 	settings config.ManagedSettings
 	address  string
 	log      *logRecorder
@@ -80,10 +85,13 @@
 	ignorePeers atomic.Bool
 	done        chan error
 	// stop ends the proxy at once and closes its callers' connections.
-	stop func()
-	// mu guards conns, the accepted connections.
-	mu    sync.Mutex
-	conns []net.Conn
+	stop      func()
+	recording bool
+	// mu guards conns, the accepted connections, and received, what was read from them if
+	// recording is set.
+	mu       sync.Mutex
+	conns    []net.Conn
+	received []byte
 }
 
 // Database names of the routes, one per consistency level.
@@ -146,6 +154,10 @@
 		Promoter: platform.NewPromotionClient(f.store.Address()), Peers: platform.NewPeerClient(), NewCaller: n.accept, Log: log,
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	})
+	if n.recording = f.observed; f.observed {
+		n.metrics, err = n.proxy.EnableMetrics()
+		assert.NilError(f.t, err)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(managed.DocumentPath, n.proxy.ServeDocument)
 	mux.HandleFunc(managed.ChangesPath, n.proxy.ServeChanges)
@@ -182,20 +194,25 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns = append(n.conns, conn)
-	return platform.NewCaller(&freezingConn{conn, &n.frozen})
+	return platform.NewCaller(&freezingConn{conn, n})
 }
 
 // freezingConn delays the result of Read while its proxy is frozen.
 type freezingConn struct {
 	net.Conn
-	frozen *atomic.Bool
+	node *node
 }
 
 func (c *freezingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for c.frozen.Load() {
+	for c.node.frozen.Load() {
 		time.Sleep(5 * time.Millisecond)
 	}
+	if c.node.recording {
+		c.node.mu.Lock()
+		defer c.node.mu.Unlock()
+		c.node.received = append(c.node.received, b[:n]...)
+	}
 	return n, err
 }
 
@@ -222,16 +239,26 @@
 // test.
 func (n *node) connect(t testing.TB, database string) (c *caller, refused *managed.RefusedError) {
 	t.Helper()
-	c, refused, err := n.dial(t, database)
+	return n.connectAs(t, database, "")
+}
+
+// connectAs opens a session with a key.
+func (n *node) connectAs(t testing.TB, database, key string) (c *caller, refused *managed.RefusedError) {
+	t.Helper()
+	c, refused, err := n.dialAs(t, database, key)
 	assert.NilError(t, err)
 	return c, refused
 }
 
 // dial opens a session and returns connection errors, for a proxy that may have stopped.
 func (n *node) dial(t testing.TB, database string) (*caller, *managed.RefusedError, error) {
+	return n.dialAs(t, database, "")
+}
+
+func (n *node) dialAs(t testing.TB, database, key string) (*caller, *managed.RefusedError, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	conn, err := platform.LineProtocol{VM: "u1"}.Dial(ctx, managed.Member{Database: entity.Database(database), Address: n.address}, "")
+	conn, err := platform.LineProtocol{VM: "u1"}.Dial(ctx, managed.Member{Database: entity.Database(database), Address: n.address}, key)
 	var refused *managed.RefusedError
 	if errors.As(err, &refused) {
 		return nil, refused, nil
@@ -253,7 +280,13 @@
 // open opens a session and fails the test if it is rejected.
 func (n *node) open(t testing.TB, database string) *caller {
 	t.Helper()
-	c, refused := n.connect(t, database)
+	return n.openAs(t, database, "")
+}
+
+// openAs opens a session with a key and fails the test if it is rejected.
+func (n *node) openAs(t testing.TB, database, key string) *caller {
+	t.Helper()
+	c, refused := n.connectAs(t, database, key)
 	if refused != nil {
 		t.Fatalf("session for %s: %v", database, refused)
 	}
