--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -100,7 +100,7 @@
 	m.documents = m.counter("documents", "Document revisions that took force or were refused.")
 	m.peerStreams = m.counter("peer_streams_ended", "Streams of forwarded requests to peers that ended.")
 	m.callersRefused = m.counter("unknown_keys", "Sessions and operations refused because the caller's key is unknown.")
-	m.connectionsOpened = m.counter("upstream_connections_opened", "Connections opened to upstreams for callers' requests.")
+	m.connectionsOpened = m.counter("upstream_connections_opened", "Connections opened to upstreams for the pool: for requests, and one to each upstream at the start.")
 	m.connectionsEvicted = m.counter("upstream_connections_evicted", "Idle connections closed to make room for one of another organisation.")
 	m.omittedLines = m.counter("log_lines_omitted", "Log lines left out because they repeat.")
 }
@@ -118,7 +118,7 @@
 // unknown.
 func (m *Metrics) CountUnknownKey() { m.callersRefused.Add(background, 1) }
 
-// CountConnectionOpened counts a connection opened to an upstream for a caller's request.
+// CountConnectionOpened counts a pooled connection opened to an upstream.
 func (m *Metrics) CountConnectionOpened() { m.connectionsOpened.Add(background, 1) }
 
 // CountConnectionEvicted counts an idle connection closed in favour of another organisation.
