--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -35,9 +35,10 @@
 
 // Guards against names and labels that differ from docs/OPERATIONS.md.
 func TestNamesAndLabels(t *testing.T) {
+	age := 1500 * time.Millisecond
 	m := newTestMetrics(t, func(context.Context) (Sample, error) {
 		return Sample{
-			Callers:   3,
+			Callers: 3, ConfigurationAge: &age,
 			Documents: []DocumentSample{{Service: "shop", Revision: 7}},
 			Databases: []DatabaseSample{{Name: "orders", Ranks: []RankSample{{Rank: "checkout", Queued: 4}},
 				Primary: UpstreamSample{SlotsUsed: 2, Connections: 5}}},
@@ -74,6 +75,7 @@
 		`skylarkhinge_peer_streams_ended_total 1`,
 		`skylarkhinge_log_lines_omitted_total 1`,
 		`skylarkhinge_callers 3`,
+		`skylarkhinge_configuration_age_seconds 1.5`,
 		`skylarkhinge_requests_in_flight 0`,
 		`skylarkhinge_document_revision{service="shop"} 7`,
 		`skylarkhinge_queue_length{database="orders",rank="checkout"} 4`,
--- a/internal/telemetry/sample.go
+++ b/internal/telemetry/sample.go
@@ -21,7 +21,9 @@
 	Callers   int
 	InFlight  int
 	Documents []DocumentSample
-	Databases []DatabaseSample
+	// ConfigurationAge is the age of the configuration in force, nil if it is not known.
+	ConfigurationAge *time.Duration
+	Databases        []DatabaseSample
 }
 
 // DocumentSample is the revision of a service's document in force.
@@ -51,6 +53,7 @@
 // gauges are the instruments whose values come from samples.
 type gauges struct {
 	callers, inFlight, revision, queued, slots, connections metric.Int64ObservableGauge
+	configurationAge                                        metric.Float64ObservableGauge
 }
 
 func (m *Metrics) defineGauges(sample Sampler) {
@@ -62,6 +65,10 @@
 		slots:       m.gauge("slots_used", "Slots in use by this proxy."),
 		connections: m.gauge("upstream_connections", "Open connections of this proxy to upstreams."),
 	}
+	var err error
+	g.configurationAge, err = m.meter.Float64ObservableGauge("configuration_age_seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time since the configuration in force was last confirmed as current."))
+	m.err = errors.Join(m.err, err)
 	if m.err != nil {
 		return
 	}
@@ -73,7 +80,7 @@
 		}
 		return nil
 	}
-	_, err := m.meter.RegisterCallback(observe, g.callers, g.inFlight, g.revision, g.queued, g.slots, g.connections)
+	_, err = m.meter.RegisterCallback(observe, g.callers, g.inFlight, g.revision, g.queued, g.slots, g.connections, g.configurationAge)
 	m.err = errors.Join(m.err, err)
 }
 
@@ -86,6 +93,9 @@
 func (g *gauges) observe(o metric.Observer, s *Sample) {
 	o.ObserveInt64(g.callers, int64(s.Callers))
 	o.ObserveInt64(g.inFlight, int64(s.InFlight))
+	if s.ConfigurationAge != nil {
+		o.ObserveFloat64(g.configurationAge, seconds(*s.ConfigurationAge))
+	}
 	for _, d := range s.Documents {
 		o.ObserveInt64(g.revision, int64(d.Revision), metric.WithAttributes(attribute.String("service", d.Service)))
 	}
