--- a/core/revocation/revocation.go
+++ b/core/revocation/revocation.go
@@ -69,8 +69,10 @@
 	// watcher whose own confirmation is old.
 	minWaitPart = 0.015
 	// overduePart is the age, as a part of MaxAge, beyond which other proxies are asked as
-	// well. It leaves time for two of them that do not answer.
+	// well. With a timeout of 5 s it leaves time for three requests of relayPart each, of
+	// which two may remain unanswered.
 	overduePart = 0.7
+	relayPart   = 0.06
 )
 
 // Policy holds the limits that follow from a revocation timeout.
@@ -80,7 +82,9 @@
 	// WatchWait is the longest wait of a watch of the store without changes, PollWait that
 	// of a poll of another proxy.
 	WatchWait, PollWait time.Duration
-	minWait             time.Duration
+	// RelayTimeout is the time limit of a request for another proxy's configuration.
+	RelayTimeout time.Duration
+	minWait      time.Duration
 }
 
 // NewPolicy returns the policy for a revocation timeout of at least 1 s.
@@ -91,6 +95,8 @@
 		WatchWait: part(maxAge, watchPart),
 		PollWait:  part(maxAge, pollPart),
 		minWait:   part(maxAge, minWaitPart),
+
+		RelayTimeout: part(maxAge, relayPart),
 	}
 }
 
