Refuse requests with keys while the configuration may be out of date

Each proxy records up to when its configuration is confirmed as current. An answer of the store confirms the sending of its call. Watchers and other proxies report the age of what they show, so that an old answer is not taken for a new one. With strict revocation a proxy whose configuration is older than the policy's maximum refuses requests with keys, rolls back their open transactions and reports itself as not ready.

Without strict revocation, or without organisations, the waits of calls to the store and to watchers are unchanged.

Documents of the store and of other proxies now take effect one after the other: an older one could replace a newer one if both arrived at once.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -358,14 +358,36 @@
 	RevokeLease(ctx context.Context, lease uint64) error
 }
 
+// UnknownAge is the age of an answer of a proxy that does not report one.
+const UnknownAge = time.Duration(-1)
+
+// PeerDocument is the configuration in effect at another proxy.
+type PeerDocument struct {
+	// Document is nil if its version is the one that the caller has.
+	Document *Document
+	// Age is the age of the configuration when the other proxy answered, or UnknownAge.
+	Age time.Duration
+}
+
+// PeerChanges are store changes as served by another proxy.
+type PeerChanges struct {
+	Changes []Change
+	// Revision is the revision to continue from.
+	Revision uint64
+	// Age is the time from the instant up to which the changes are known to be complete to
+	// the answer, or UnknownAge.
+	Age time.Duration
+}
+
 // Peers fetches store data from other proxies.
 type Peers interface {
-	// Document returns the configuration in effect at the proxy with the given address.
-	Document(ctx context.Context, address string) (*Document, error)
+	// Document returns the configuration in effect at the proxy with the given address. have
+	// is the version that the caller has, 0 if it has none.
+	Document(ctx context.Context, address string, have uint64) (PeerDocument, error)
 	// Changes returns the store changes after a revision from the proxy with the given
-	// address, and the revision to continue from. If there are none it returns after a
-	// short wait. It returns ErrCompacted if that proxy no longer has them.
-	Changes(ctx context.Context, address string, after uint64) ([]Change, uint64, error)
+	// address. If there are none it returns after wait. It returns ErrCompacted if that
+	// proxy no longer has them.
+	Changes(ctx context.Context, address string, after uint64, wait time.Duration) (PeerChanges, error)
 }
 
 // Errors returned by Promoter.
--- /dev/null
+++ b/internal/managed/follower_test.go
@@ -0,0 +1,59 @@
+package managed
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/config"
+	"skylarkhinge.dev/skylarkhinge/core/gateway"
+)
+
+// logPeers answers polls from the log of a watcher. The watcher is suspended for pause
+// before its answer is sent.
+type logPeers struct {
+	Peers
+	log   *watchLog
+	pause time.Duration
+}
+
+func (p *logPeers) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (PeerChanges, error) {
+	answer, err := p.log.waitForChanges(ctx, after, wait)
+	if err != nil {
+		return PeerChanges{}, err
+	}
+	time.Sleep(p.pause)
+	return PeerChanges{Revision: answer.Revision, Age: AgeFromMillis(*answer.Age, nil)}, nil
+}
+
+func newTestProxy(peers Peers) *Proxy {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	settings := config.DefaultManagedSettings()
+	return New(Options{Settings: &settings, Log: log, Peers: peers})
+}
+
+// Guards against a follower that takes the old confirmation of a watcher for a new one: of
+// a watcher that lost the store and only renews its lease, that got its own configuration
+// from another proxy, or that was suspended before its answer was sent.
+func TestFollowerKeepsTheAgeOfItsWatcher(t *testing.T) {
+	const age, pause = time.Second, 50 * time.Millisecond
+	watcher := newTestProxy(nil)
+	confirmed := now().Add(-age)
+	watcher.watchLog.append(1, 2, nil, confirmed)
+	watcher.watchLog.recordContact()
+	watcher.confirmConfiguration(now(), 0, "vm-9")
+	follower := newTestProxy(&logPeers{log: watcher.watchLog, pause: pause})
+	s := newStoreSync(follower)
+	s.revision = 2
+	u, err := s.pollWatcher(context.Background(), gateway.Proxy{})
+	assert.NilError(t, err)
+	s.confirm(u.sent, u.age)
+	at := now()
+	got, atLeast := follower.configurationAge(at), at.Sub(confirmed)
+	assert.Assert(t, got >= atLeast && got < atLeast+pollWait+time.Second, "%v, not %v", got, atLeast)
+}
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -64,6 +64,8 @@
 	connections int
 	routes      []standin.Route
 	nodes       []*node
+	// adjust changes the settings of proxies started later, if set.
+	adjust func(*config.ManagedSettings)
 	// logOutput replaces the log output of proxies started later, if set.
 	logOutput io.Writer
 }
@@ -78,7 +80,9 @@
 	frozen atomic.Bool
 	// ignorePeers makes the proxy leave HTTP requests of other proxies unanswered.
 	ignorePeers atomic.Bool
-	done        chan error
+	// cut makes HTTP requests of the proxy to other proxies fail.
+	cut  atomic.Bool
+	done chan error
 	// stop ends the proxy at once and closes its callers' connections.
 	stop func()
 	// mu guards conns, the accepted connections.
@@ -133,6 +137,9 @@
 	settings.PeerAddress = peers.Addr().String()
 	status := httptest.NewUnstartedServer(nil)
 	settings.MetricsAddress = status.Listener.Addr().String()
+	if f.adjust != nil {
+		f.adjust(&settings)
+	}
 	lines := &logRecorder{}
 	log := logrus.New()
 	log.SetOutput(lines)
@@ -143,7 +150,7 @@
 	n := &node{settings: settings, log: lines, done: make(chan error, 1)}
 	n.proxy = managed.New(managed.Options{
 		Settings: &settings, Store: platform.NewStoreClient(f.store.AddressFor(settings.VM)), Protocol: platform.LineProtocol{VM: settings.VM},
-		Promoter: platform.NewPromotionClient(f.store.Address()), Peers: platform.NewPeerClient(), NewCaller: n.accept, Log: log,
+		Promoter: platform.NewPromotionClient(f.store.Address()), Peers: &cuttablePeers{platform.NewPeerClient(), n}, NewCaller: n.accept, Log: log,
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	})
 	mux := http.NewServeMux()
@@ -177,6 +184,26 @@
 	return n
 }
 
+// cuttablePeers fails while its proxy is cut off.
+type cuttablePeers struct {
+	managed.Peers
+	node *node
+}
+
+func (p *cuttablePeers) Document(ctx context.Context, address string, have uint64) (managed.PeerDocument, error) {
+	if p.node.cut.Load() {
+		return managed.PeerDocument{}, net.ErrClosed
+	}
+	return p.Peers.Document(ctx, address, have)
+}
+
+func (p *cuttablePeers) Changes(ctx context.Context, address string, after uint64, wait time.Duration) (managed.PeerChanges, error) {
+	if p.node.cut.Load() {
+		return managed.PeerChanges{}, net.ErrClosed
+	}
+	return p.Peers.Changes(ctx, address, after, wait)
+}
+
 // accept records an accepted connection, so that stop can close it.
 func (n *node) accept(conn net.Conn) managed.CallerConn {
 	n.mu.Lock()
--- a/internal/managed/metrics.go
+++ b/internal/managed/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/flood"
+	"skylarkhinge.dev/skylarkhinge/core/revocation"
 	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
@@ -49,6 +50,9 @@
 		Callers:   p.openSessions(),
 		Documents: []telemetry.DocumentSample{{Service: operatorsDocument, Revision: p.document().Version}},
 	}
+	if age := p.configurationAge(now()); p.settings().StrictRevocation && age != revocation.Never {
+		sample.ConfigurationAge = &age
+	}
 	for _, d := range p.sortedDatabases() {
 		sample.Databases = append(sample.Databases, d.sample())
 	}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -46,7 +46,11 @@
 	// effective are the current settings; see Reload.
 	effective atomic.Pointer[config.ManagedSettings]
 
+	// documentMu is held while a document takes effect. The store and other proxies may
+	// deliver documents at the same time, and an older one must not replace a newer one.
+	documentMu        sync.Mutex
 	currentDocument   atomic.Pointer[Document]
+	confirmation      configurationConfirmation
 	suspectedGateways suspectedGateways
 	// watchLog holds the store changes that this proxy serves to other proxies.
 	watchLog *watchLog
@@ -165,6 +169,8 @@
 		return "shutting down"
 	case p.document().Version == 0:
 		return "no configuration yet"
+	case p.configurationExpired(now()):
+		return "configuration is out of date"
 	}
 	return ""
 }
@@ -184,6 +190,9 @@
 		newStoreSync(p).run(ctx)
 	}()
 	go p.logSummaries(ctx)
+	if p.settings().StrictRevocation {
+		go p.logConfigurationAge(ctx)
+	}
 	accepted := make(chan error, 2)
 	go func() { accepted <- p.accept(listener, false) }()
 	if peers != nil {
@@ -332,6 +341,8 @@
 // setDocument puts a configuration into effect unless its version is not newer than the
 // current one.
 func (p *Proxy) setDocument(doc *Document) {
+	p.documentMu.Lock()
+	defer p.documentMu.Unlock()
 	if doc.Version <= p.document().Version {
 		if doc.Version < p.document().Version {
 			p.events.documentInForce(doc.Version, len(doc.Routes), true)
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -80,6 +80,9 @@
 		s.rejectUnknown()
 		return false
 	}
+	if s.rejectExpired() {
+		return false
+	}
 	s.remote = s.handOver(route, handOverAttempts)
 	s.nextMove = now().Add(moveDelay)
 	return s.caller.Accept() == nil
@@ -158,6 +161,8 @@
 	var state TransactionState
 	closeSession := false
 	switch {
+	case s.credentialExpired(arrived):
+		reply, state, closeSession = s.refuseExpired(statement)
 	case statement.Kind == StatementSet && statement.Name == lastWriteVariable && !s.fromPeer:
 		reply, state = errorReply(CodeMalformed, "name of the session value is reserved"), s.transactionState()
 	case s.remote != nil:
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -32,16 +32,35 @@
 	Revision uint64 `json:"revision"`
 	// Entries are the changed entries as received from the store.
 	Entries []json.RawMessage `json:"entries"`
+	// Age is the time in milliseconds from the instant up to which Entries are complete to
+	// the answer. It is nil in answers of proxies that do not know the field.
+	Age *int64 `json:"age_ms,omitempty"`
 }
 
-// ServeChanges answers a poll of another proxy. It waits up to pollWait for a change.
+// ageMillis returns an age in milliseconds, rounded up.
+func ageMillis(age time.Duration) *int64 {
+	count := int64((age-1)/time.Millisecond) + 1
+	return &count
+}
+
+// ServeChanges answers a poll of another proxy. It waits for a change, up to the time in
+// the parameter wait_ms but at most pollWait, which is also the default.
 func (p *Proxy) ServeChanges(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a revision", http.StatusBadRequest)
 		return
 	}
-	answer, err := p.watchLog.waitForChanges(r.Context(), after, pollWait)
+	wait := pollWait
+	if text := r.FormValue("wait_ms"); text != "" {
+		count, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			http.Error(w, "wait_ms is not a number", http.StatusBadRequest)
+			return
+		}
+		wait = min(wait, time.Duration(count)*time.Millisecond)
+	}
+	answer, err := p.watchLog.waitForChanges(r.Context(), after, wait)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
@@ -68,9 +87,19 @@
 	return gateway.Watchers(listed, p.self().AvailabilityZone)
 }
 
+// update is an answer with the changes since the proxy's revision.
+type update struct {
+	changes  []Change
+	revision uint64
+	// sent is when the question was sent, age the age of the answer's confirmation: 0 for
+	// the store.
+	sent entity.Time
+	age  time.Duration
+}
+
 // nextChanges waits for changes from a watcher. It reads from the store if there is no
 // watcher or if the watchers fail.
-func (s *storeSync) nextChanges(ctx context.Context) ([]Change, uint64, error) {
+func (s *storeSync) nextChanges(ctx context.Context) (update, error) {
 	began := now()
 	watchers, self := s.watchers(), s.proxy.self().VM
 	_, follows := gateway.WatcherOf(watchers, self)
@@ -80,10 +109,10 @@
 			break
 		}
 		s.setWatcher(watcher.VM)
-		changes, revision, err := s.pollWatcher(ctx, watcher)
+		u, err := s.pollWatcher(ctx, watcher)
 		if err == nil || ctx.Err() != nil {
 			s.source.RecordAnswer(watcher.VM)
-			return changes, revision, err
+			return u, err
 		}
 		s.proxy.events.rateLimited("watcher_failed", "follow_watcher", string(watcher.VM), nil, err)
 		if errors.Is(err, ErrCompacted) {
@@ -99,13 +128,13 @@
 	}
 	s.setWatcher("")
 	if follows && !s.source.StoreDue(now()) {
-		return nil, 0, errStorePaused
+		return update{}, errStorePaused
 	}
-	changes, revision, err := s.watchStore(ctx)
+	u, err := s.watchStore(ctx)
 	if ctx.Err() == nil {
 		s.source.RecordStore(now(), err == nil || errors.Is(err, ErrCompacted))
 	}
-	return changes, revision, err
+	return u, err
 }
 
 // errStorePaused is returned while neither a watcher nor the store is to be asked.
@@ -121,22 +150,30 @@
 	s.proxy.events.watcherChanged(watcher)
 }
 
-func (s *storeSync) pollWatcher(ctx context.Context, watcher gateway.Proxy) ([]Change, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
+func (s *storeSync) pollWatcher(ctx context.Context, watcher gateway.Proxy) (update, error) {
+	sent := now()
+	wait := s.waitForPoll(sent)
+	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
-	return s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision)
+	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision, wait)
+	if err != nil {
+		return update{}, err
+	}
+	return update{answer.Changes, answer.Revision, sent, answer.Age}, nil
 }
 
-func (s *storeSync) watchStore(ctx context.Context) ([]Change, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+func (s *storeSync) watchStore(ctx context.Context) (update, error) {
+	sent := now()
+	wait := s.waitForWatch(sent)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	s.cancelWatch.Store(&cancel)
 	defer s.cancelWatch.Store(nil)
-	changes, revision, err := s.proxy.options.Store.Watch(ctx, s.revision, watchWait)
+	changes, revision, err := s.proxy.options.Store.Watch(ctx, s.revision, wait)
 	if err != nil {
 		s.proxy.watchLog.stop()
-		return nil, 0, err
+		return update{}, err
 	}
-	s.proxy.watchLog.append(s.revision, revision, changes)
-	return changes, revision, nil
+	s.proxy.watchLog.append(s.revision, revision, changes, sent)
+	return update{changes, revision, sent, 0}, nil
 }
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -96,6 +96,9 @@
 	source gateway.WatchSource
 	// startedAt is when the first listing was complete.
 	startedAt entity.Time
+	// refusedRevision is the revision of the store's configuration if it could not be
+	// decoded, else 0. The configuration in force is older then, so nothing is confirmed.
+	refusedRevision uint64
 }
 
 func newStoreSync(p *Proxy) *storeSync {
@@ -154,13 +157,14 @@
 	if s.revision == 0 {
 		return s.list(ctx)
 	}
-	changes, revision, err := s.nextChanges(ctx)
+	u, err := s.nextChanges(ctx)
 	if err != nil {
 		return err
 	}
-	s.apply(changes)
-	s.revision = revision
-	if len(changes) > 0 && s.watcherName == "" {
+	s.apply(u.changes)
+	s.revision = u.revision
+	s.confirm(u.sent, u.age)
+	if len(u.changes) > 0 && s.watcherName == "" {
 		sleep(ctx, s.coalesceDelay())
 	}
 	return nil
@@ -201,6 +205,7 @@
 func (s *storeSync) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
+	sent := now()
 	changes, revision, err := s.proxy.options.Store.List(ctx)
 	if err != nil {
 		return err
@@ -208,6 +213,7 @@
 	s.proxy.markUnlisted(changes)
 	s.apply(changes)
 	s.revision = revision
+	s.confirm(sent, 0)
 	if s.startedAt == 0 {
 		s.startedAt = now()
 		close(s.listed)
@@ -220,9 +226,12 @@
 	for i := range changes {
 		c := &changes[i]
 		switch {
+		case c.DecodeErr != nil && c.MemberName == "":
+			s.refuseDocument(c)
 		case c.DecodeErr != nil:
 			p.events.entryRefused(string(c.MemberName), c.DecodeErr)
 		case c.Document != nil:
+			s.refusedRevision = 0
 			p.setDocument(c.Document)
 		case c.Member != nil:
 			p.putMember(*c.Member)
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/revocation"
 )
 
 const (
@@ -32,6 +33,9 @@
 	entries                     []Change
 	bytes                       int
 	lastContact                 entity.Time
+	// confirmation is the instant up to which the log is known to be complete. It differs
+	// from the age of the proxy's configuration, which other proxies can confirm as well.
+	confirmation revocation.Clock
 	// changed is closed when the next change arrives or the log stops.
 	changed chan struct{}
 }
@@ -52,15 +56,16 @@
 	l.changed = make(chan struct{})
 }
 
-// append adds the changes of a watch that covered the revisions from (exclusive) to to
-// (inclusive). After a gap the log starts anew.
-func (l *watchLog) append(from, to uint64, changes []Change) {
+// append adds the changes of a watch that was sent at the given time and covered the
+// revisions from (exclusive) to to (inclusive). After a gap the log starts anew.
+func (l *watchLog) append(from, to uint64, changes []Change, sent entity.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.watching || l.lastRevision != from {
 		l.completeAfter, l.entries, l.bytes = from, nil, 0
 	}
 	l.watching, l.lastRevision, l.lastContact = true, to, now()
+	l.confirmation.Confirm(sent, 0)
 	for i := range changes {
 		l.entries = append(l.entries, changes[i])
 		l.bytes += len(changes[i].Source)
@@ -96,7 +101,9 @@
 	case after < l.completeAfter:
 		return ChangesResponse{}, nil, ErrCompacted
 	}
-	answer := ChangesResponse{Revision: max(after, l.lastRevision), Entries: []json.RawMessage{}}
+	answer := ChangesResponse{
+		Revision: max(after, l.lastRevision), Entries: []json.RawMessage{}, Age: ageMillis(l.confirmation.Age(now())),
+	}
 	for i := range l.entries {
 		if l.entries[i].Revision > after {
 			answer.Entries = append(answer.Entries, l.entries[i].Source)
--- a/internal/managed/watchlog_test.go
+++ b/internal/managed/watchlog_test.go
@@ -24,7 +24,7 @@
 	_, _, err := l.changesSince(0)
 	assert.Assert(t, errors.Is(err, errNotWatching))
 
-	l.append(10, 12, changesAt(11, 12))
+	l.append(10, 12, changesAt(11, 12), now())
 	answer, _, err := l.changesSince(10)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 2)
@@ -39,12 +39,12 @@
 	assert.Assert(t, changed != nil)
 	assert.Equal(t, answer.Revision, uint64(20))
 
-	l.append(15, 16, changesAt(16))
+	l.append(15, 16, changesAt(16), now())
 	_, _, err = l.changesSince(12)
 	assert.Assert(t, errors.Is(err, ErrCompacted))
 
 	for r := uint64(16); r < 16+2*maxLogEntries; r++ {
-		l.append(r, r+1, changesAt(r+1))
+		l.append(r, r+1, changesAt(r+1), now())
 	}
 	assert.Equal(t, len(l.entries), maxLogEntries)
 	_, _, err = l.changesSince(16)
@@ -58,7 +58,7 @@
 // another proxy itself, and against a waiting poll that does not notice either.
 func TestWatchLogEnds(t *testing.T) {
 	l := newWatchLog()
-	l.append(1, 2, changesAt(2))
+	l.append(1, 2, changesAt(2), now())
 	l.lastContact = now().Add(-maxContactAge - time.Millisecond)
 	_, _, err := l.changesSince(1)
 	assert.Assert(t, errors.Is(err, errNotWatching))
@@ -79,11 +79,11 @@
 // Guards against a poll that is answered only when its wait expires.
 func TestWatchLogWakes(t *testing.T) {
 	l := newWatchLog()
-	l.append(1, 2, changesAt(2))
+	l.append(1, 2, changesAt(2), now())
 	began := time.Now()
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		l.append(2, 3, changesAt(3))
+		l.append(2, 3, changesAt(3), now())
 	}()
 	answer, err := l.waitForChanges(context.Background(), 2, time.Minute)
 	assert.NilError(t, err)
