--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -84,6 +84,9 @@
 		s.rejectUnknown()
 		return false
 	}
+	if s.rejectExpired() {
+		return false
+	}
 	if !s.identify() {
 		s.proxy.observer.countUnknownKey()
 		s.reject(CodeUnauthenticated, unauthenticated)
@@ -185,6 +188,9 @@
 	if statement.Kind == StatementSet && statement.Name == lastWriteVariable && !s.fromPeer {
 		return errorReply(CodeMalformed, "name of the session value is reserved"), s.transactionState(), false
 	}
+	if s.credentialExpired(arrived) {
+		return s.refuseExpired(statement)
+	}
 	known := s.identify()
 	if known {
 		s.moveToGateway(arrived)
