Test: drain a gateway of a zone with three proxies

With two, the other proxy of the zone becomes the gateway of its own callers, and no session is handed to it.

--- a/internal/managed/organisations_test.go
+++ b/internal/managed/organisations_test.go
@@ -291,7 +291,9 @@
 // Guards against sessions that lose their organisation when they are handed to a gateway or
 // move to the next one.
 func TestHandOverCarriesTheOrganisation(t *testing.T) {
-	f := newOrganisationFleet(t, 6, scarceConnections, "acme", "bolt")
+	// Three proxies per zone: one of the other two in its zone replaces the gateway, and the
+	// third one's sessions move to it.
+	f := newOrganisationFleet(t, 9, scarceConnections, "acme", "bolt")
 	sessions := map[*caller]string{}
 	for _, n := range f.nodes {
 		for _, name := range []string{"acme", "bolt"} {
