Test the expiry of the configuration at gateways that an organisation prefers

All sessions of an organisation prefer one gateway, so the proxy that serves a session is found by the number of sessions handed over and not by the name in the upstream's session.

--- a/internal/managed/organisations_test.go
+++ b/internal/managed/organisations_test.go
@@ -171,15 +171,18 @@
 	return strings.Count(string(n.received), " organisation:")
 }
 
+// handedOver returns the number of sessions that proxies have handed over.
+func (f *fleet) handedOver() (sum int) {
+	for _, n := range f.nodes {
+		sum += n.handedTo()
+	}
+	return sum
+}
+
 // handingOver returns a proxy that hands its callers' sessions over.
 func (f *fleet) handingOver(name string) *node {
 	f.t.Helper()
-	handed := func() (sum int) {
-		for _, n := range f.nodes {
-			sum += n.handedTo()
-		}
-		return sum
-	}
+	handed := f.handedOver
 	for _, n := range f.nodes {
 		before := handed()
 		n.openAs(f.t, strictDB, keyOf(name)).eventually(5*time.Second, "READ item")
--- a/internal/managed/revocation_test.go
+++ b/internal/managed/revocation_test.go
@@ -44,6 +44,7 @@
 func newStrictFleet(t testing.TB, proxies int) *fleet {
 	f := newFleet(t, 0)
 	f.adjust = strict
+	f.observed = true
 	f.connections = scarceConnections
 	f.configure()
 	f.setOrganisations(organisationKeys)
@@ -78,9 +79,10 @@
 	f := newStrictFleet(t, 6)
 	var own, remote *node // a gateway, and a proxy whose sessions a gateway serves
 	for _, n := range f.nodes {
+		before := f.handedOver()
 		c := n.open(t, strictDB)
 		c.eventually(5*time.Second, "WRITE a 1")
-		if f.executionsOf(c)[0].User == n.settings.VM {
+		if f.handedOver() == before {
 			own = n
 		} else {
 			remote = n
