--- /dev/null
+++ b/core/quota/limiter.go
@@ -0,0 +1,165 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
+)
+
+const (
+	// maxPause is the interval between ticks beyond which the limiter counts as paused and
+	// another one may have granted tokens in its place.
+	maxPause = 500 * time.Millisecond
+	// maxRefillPause is the interval between ticks beyond which the pause is not refilled.
+	maxRefillPause = 150 * time.Millisecond
+	// maxStandInPause is the time without a request after which a stand-in starts again with
+	// an empty bucket.
+	maxStandInPause = time.Second
+	// bucketRetention is the time after which an unused bucket is dropped. An organisation
+	// that returns later starts with an empty bucket.
+	bucketRetention = 10 * time.Minute
+	// sweepInterval is the interval at which unused buckets are dropped.
+	sweepInterval = 30 * time.Second
+	// maxRetryAfter bounds the time for which a holder is told to wait because others wait.
+	maxRetryAfter = 500 * time.Millisecond
+	// NoOtherLimiter is the value of elsewhere if no other limiter granted tokens lately.
+	NoOtherLimiter = time.Duration(math.MaxInt64)
+)
+
+// bucket is the token bucket of one organisation.
+type bucket struct {
+	tokens   float64
+	refilled entity.Time
+	lastUse  entity.Time
+	limits   Limits
+	// unmet is the recent number of requests that were not served in full, as of unmetAt.
+	unmet   float64
+	unmetAt entity.Time
+	role    role
+}
+
+// role is the reason why a proxy limits an organisation.
+type role uint8
+
+const (
+	// roleFirst: it is the first candidate.
+	roleFirst role = iota
+	// roleStandIn: the candidates before it have failed.
+	roleStandIn
+	// roleNew: all candidates have just started, and it is the first.
+	roleNew
+)
+
+// Limiter keeps the token buckets of the organisations that this proxy limits.
+type Limiter struct {
+	parameters Parameters
+	buckets    map[organisation.Name]*bucket
+	lastTick   entity.Time
+	lastSweep  entity.Time
+	// granted is the number of tokens granted to all organisations.
+	granted uint64
+}
+
+// NewLimiter returns a Limiter without buckets.
+func NewLimiter(parameters Parameters) *Limiter {
+	return &Limiter{parameters: parameters, buckets: map[organisation.Name]*bucket{}}
+}
+
+// Tick must be called regularly, and before Grant. It empties all buckets after a pause of
+// more than maxPause, and drops unused ones.
+func (l *Limiter) Tick(at entity.Time) {
+	pause := at.Sub(l.lastTick)
+	if l.lastTick != 0 && pause > maxRefillPause {
+		for _, b := range l.buckets {
+			b.refilled = at
+			if pause > maxPause {
+				b.tokens = 0
+			}
+		}
+	}
+	l.lastTick = at
+	if at.Sub(l.lastSweep) < sweepInterval {
+		return
+	}
+	l.lastSweep = at
+	for name, b := range l.buckets {
+		if at.Sub(b.lastUse) > bucketRetention {
+			delete(l.buckets, name)
+		}
+	}
+}
+
+// Forget drops the bucket of an organisation that this proxy no longer limits.
+func (l *Limiter) Forget(name organisation.Name) { delete(l.buckets, name) }
+
+// assume empties the bucket of an organisation if the role of this proxy has changed, or if
+// it stood in before and has not been asked since: another one has granted tokens meanwhile.
+func (l *Limiter) assume(at entity.Time, name organisation.Name, r role) {
+	b, ok := l.buckets[name]
+	if !ok {
+		l.buckets[name] = &bucket{refilled: at, lastUse: at, role: r}
+		return
+	}
+	if b.role != r || r == roleStandIn && at.Sub(b.lastUse) > maxStandInPause {
+		b.tokens, b.refilled, b.role = 0, at, r
+	}
+}
+
+// lastStandIn returns the last use of the bucket of an organisation as a stand-in.
+func (l *Limiter) lastStandIn(name organisation.Name) (entity.Time, bool) {
+	b, ok := l.buckets[name]
+	if !ok || b.role != roleStandIn {
+		return 0, false
+	}
+	return b.lastUse, true
+}
+
+// Grant takes up to want tokens. elsewhere is the time since the last grant by another
+// limiter, for which no earlier refill is counted. If fewer tokens are granted, retryAfter
+// is the time after which to ask again.
+func (l *Limiter) Grant(at entity.Time, name organisation.Name, limits Limits, want int, elsewhere time.Duration) (granted int, retryAfter time.Duration) {
+	b, ok := l.buckets[name]
+	if !ok {
+		b = &bucket{refilled: at, limits: limits}
+		l.buckets[name] = b
+	}
+	b.lastUse = at
+	refill := l.parameters.Refill(limits)
+	// The refill since the last grant is counted at the lower of the two limits, so that a
+	// lowered limit takes effect at once.
+	l.refill(b, at, min(refill, l.parameters.Refill(b.limits)), limits)
+	b.limits = limits
+	if elsewhere < l.parameters.Window {
+		b.tokens = min(b.tokens, refill*max(0, elsewhere).Seconds())
+	}
+	granted = max(0, min(want, int(b.tokens)))
+	b.tokens -= float64(granted)
+	l.granted += uint64(granted)
+	if granted >= want {
+		return granted, 0
+	}
+	return granted, l.retryAfter(b, at, refill)
+}
+
+func (l *Limiter) refill(b *bucket, at entity.Time, rate float64, limits Limits) {
+	gained := max(0, at.Sub(b.refilled)).Seconds() * rate
+	b.tokens = min(b.tokens+gained, l.parameters.Capacity(limits))
+	b.refilled = at
+}
+
+// retryAfter returns the time until a token is available. It grows with the number of
+// requests that were not served in full during the last lease time, so that many holders
+// do not ask for each single token.
+func (l *Limiter) retryAfter(b *bucket, at entity.Time, refill float64) time.Duration {
+	if refill <= 0 {
+		return l.parameters.Window
+	}
+	decay := math.Exp(-at.Sub(b.unmetAt).Seconds() / l.parameters.Lease().Seconds())
+	b.unmet = b.unmet*decay + 1
+	b.unmetAt = at
+	next := max(0, 1-b.tokens) / refill
+	crowd := min(b.unmet/2/refill, maxRetryAfter.Seconds())
+	return max(time.Millisecond, min(time.Duration(max(next, crowd)*float64(time.Second)), l.parameters.Window))
+}
--- /dev/null
+++ b/core/quota/node.go
@@ -0,0 +1,639 @@
+package quota
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
+)
+
+const (
+	// askTimeout bounds a holder's request. forwardTimeout and relayTimeout are shorter, so
+	// that a failure on the way is reported before the sender gives up.
+	askTimeout     = 150 * time.Millisecond
+	forwardTimeout = 110 * time.Millisecond
+	relayTimeout   = 80 * time.Millisecond
+	// probeTimeout bounds a probe of a candidate that did not answer.
+	probeTimeout = 100 * time.Millisecond
+	// retryUnknown is the time after which a holder asks again while it is found out which
+	// proxy is the limiter.
+	retryUnknown = 30 * time.Millisecond
+	// maxAsked is the number of candidates that a holder asks before it refuses operations.
+	maxAsked = 3
+	// maxWants bounds the organisations in one request.
+	maxWants = 512
+	// relays is the number of other proxies that probe a candidate.
+	relays = 2
+	// TickInterval is the interval at which Wake must be called at least. It is shorter than
+	// the pauses that the limiter notices.
+	TickInterval = 50 * time.Millisecond
+	// changeInterval is the interval at which the ends of limits are looked for.
+	changeInterval = 500 * time.Millisecond
+)
+
+// callKind is the purpose of a request that the node sent.
+type callKind uint8
+
+const (
+	callAsk callKind = iota
+	callForward
+	callRelay
+	callProbe
+)
+
+// call is a request in flight.
+type call struct {
+	kind   callKind
+	to     entity.VM
+	sentAt entity.Time
+	// accounts are those that a callAsk is for. allNew is set if all their candidates have
+	// just started.
+	accounts []*account
+	allNew   bool
+	// wants are the indexes of the forwarded wants in the pending answer.
+	wants   []int
+	pending *pending
+	// target is the proxy that is to be reached if to is a relay, or else to.
+	target entity.VM
+}
+
+// pending is an answer that waits for other proxies.
+type pending struct {
+	reply  ReplyID
+	local  *call
+	answer Answer
+	open   int
+}
+
+// Node decides for one proxy, as a holder and as a limiter. It is not safe for concurrent
+// use.
+type Node struct {
+	self       entity.VM
+	parameters Parameters
+	limitsOf   func(organisation.Name) (Limits, bool)
+	holder     *Holder
+	limiter    *Limiter
+	candidates *candidates
+	startedAt  entity.Time
+	calls      map[CallID]*call
+	lastCall   CallID
+	// needing are the accounts with waiting operations or too few tokens.
+	needing    []*account
+	nextChange entity.Time
+	random     *rand.Rand
+	effects    Effects
+	buffer     []entity.VM
+}
+
+// NewNode returns a node. limitsOf returns the limits of an organisation in this proxy's
+// configuration; for others the limits in the request apply.
+func NewNode(self entity.VM, parameters Parameters, limitsOf func(organisation.Name) (Limits, bool)) *Node {
+	seed := xxhash.Sum64String(string(self))
+	return &Node{
+		self: self, parameters: parameters, limitsOf: limitsOf,
+		holder: NewHolder(parameters), limiter: NewLimiter(parameters), candidates: newCandidates(self),
+		calls: map[CallID]*call{}, random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// TakeEffects returns the actions that the calls so far asked for. The slices are not used
+// by the node afterwards.
+func (n *Node) TakeEffects() Effects {
+	if n.effects.empty() {
+		return Effects{}
+	}
+	e := n.effects
+	n.effects = Effects{}
+	return e
+}
+
+// Update replaces the list of proxies, which contains this one once it is registered. It
+// must be called at least once a second.
+func (n *Node) Update(at entity.Time, listed []entity.VM) {
+	if n.startedAt == 0 && len(listed) > 0 {
+		n.startedAt = at
+	}
+	if !n.candidates.update(at, listed) {
+		return
+	}
+	if own, ok := n.candidates.peers[n.self]; ok {
+		own.newUntil = n.startedAt.Add(newTime)
+	}
+	n.poll(at)
+}
+
+// forgetOthers drops the buckets of organisations whose first candidate this proxy no longer
+// is. If it becomes the first again, the bucket starts empty.
+func (n *Node) forgetOthers(at entity.Time) {
+	for name, b := range n.limiter.buckets {
+		active, _ := n.candidates.active(at, name, n.buffer)
+		n.buffer = active
+		if b.role == roleFirst && (len(active) == 0 || active[0] != n.self) {
+			n.limiter.Forget(name)
+		}
+	}
+}
+
+// Admit decides on an operation that may wait for up to maxWait. retryAfter is set if it is
+// refused.
+func (n *Node) Admit(at entity.Time, name organisation.Name, limits Limits, maxWait time.Duration) (d Decision, ticket Ticket, retryAfter time.Duration) {
+	a := n.holder.account(at, name, limits)
+	d, ticket, retryAfter = n.holder.admit(at, a, maxWait)
+	if d == Refused {
+		n.noteRefusal(a)
+		if a.nextAsk > at {
+			return d, ticket, retryAfter
+		}
+	}
+	if !a.listed && (d == Waiting || a.want(at, n.holder.leaseTime) > 0) {
+		n.need(a)
+	}
+	if a.listed && !a.asking {
+		n.poll(at)
+	}
+	return d, ticket, retryAfter
+}
+
+// Charge takes a token for a retry, into debt if there is none.
+func (n *Node) Charge(at entity.Time, name organisation.Name, limits Limits) {
+	a := n.holder.account(at, name, limits)
+	a.lastUse = at
+	a.charge(at)
+	n.need(a)
+	n.poll(at)
+}
+
+func (n *Node) need(a *account) {
+	if !a.listed {
+		a.listed = true
+		n.needing = append(n.needing, a)
+	}
+}
+
+func (n *Node) noteRefusal(a *account) {
+	if !a.limited {
+		a.limited = true
+		n.noteChange(a)
+	}
+}
+
+func (n *Node) noteChange(a *account) {
+	n.effects.Changes = append(n.effects.Changes, Change{
+		Name: a.name, Limited: a.limited, Limits: a.limits, Limiter: a.grants[0].by, Counters: a.counters,
+	})
+}
+
+// Wake does what is due. It returns the time at which to call it again.
+func (n *Node) Wake(at entity.Time) entity.Time {
+	n.limiter.Tick(at)
+	n.forgetOthers(at)
+	n.holder.sweep(at)
+	if at >= n.nextChange {
+		n.nextChange = at.Add(changeInterval)
+		for _, a := range n.holder.accounts {
+			if a.limited && at.Sub(a.lastRefusal) > limitedTime {
+				a.limited = false
+				n.noteChange(a)
+			}
+		}
+	}
+	n.poll(at)
+	return min(n.NextDue(at), at.Add(TickInterval))
+}
+
+// NextDue returns the earliest time at which an operation's wait ends or tokens are to be
+// asked for.
+func (n *Node) NextDue(at entity.Time) entity.Time {
+	next := entity.Never
+	for _, a := range n.needing {
+		if !a.asking && a.nextAsk > at {
+			next = min(next, a.nextAsk)
+		}
+		for _, w := range a.queue {
+			next = min(next, w.deadline)
+		}
+	}
+	return max(next, at.Add(time.Millisecond))
+}
+
+// poll decides on waiting operations and asks for tokens. A request has all accounts that
+// need tokens from the same proxy, and one request to a proxy is in flight.
+func (n *Node) poll(at entity.Time) {
+	var asks []*call
+	kept := n.needing[:0]
+	for _, a := range n.needing {
+		n.settle(at, a)
+		if len(a.queue) == 0 && !a.asking && (at < a.nextAsk || a.want(at, n.holder.leaseTime) == 0) {
+			a.listed = false
+			continue
+		}
+		kept = append(kept, a)
+		if a.asking || at < a.nextAsk {
+			continue
+		}
+		asks = n.plan(at, a, asks)
+	}
+	clear(n.needing[len(kept):])
+	n.needing = kept
+	for _, c := range asks {
+		n.ask(at, c)
+	}
+}
+
+func (n *Node) settle(at entity.Time, a *account) {
+	if len(a.queue) == 0 {
+		return
+	}
+	before := a.counters.Refused
+	n.effects.Outcomes = n.holder.settle(at, a, n.effects.Outcomes)
+	if a.counters.Refused > before {
+		n.noteRefusal(a)
+	}
+}
+
+// plan adds an account to the request to its limiter.
+func (n *Node) plan(at entity.Time, a *account, asks []*call) []*call {
+	target, allNew, retryAt := n.target(at, a.name)
+	if target == "" {
+		a.nextAsk = max(retryAt, at.Add(time.Millisecond))
+		n.settle(at, a)
+		return asks
+	}
+	for _, c := range asks {
+		if c.to == target && c.allNew == allNew && len(c.accounts) < maxWants {
+			a.asking = true
+			c.accounts = append(c.accounts, a)
+			return asks
+		}
+	}
+	p := n.candidates.peers[target]
+	if p.asking {
+		return asks
+	}
+	p.asking, a.asking = true, true
+	c := &call{kind: callAsk, to: target, target: target, sentAt: at, accounts: []*account{a}, allNew: allNew}
+	c.pending = &pending{local: c}
+	return append(asks, c)
+}
+
+// target returns the proxy to ask for an organisation's tokens. It is empty if none can be
+// asked before retryAt.
+func (n *Node) target(at entity.Time, name organisation.Name) (target entity.VM, allNew bool, retryAt entity.Time) {
+	active, allNew := n.candidates.active(at, name, n.buffer)
+	n.buffer = active
+	retryAt = entity.Never
+	for _, vm := range active[:min(len(active), maxAsked)] {
+		p := n.candidates.peers[vm]
+		if vm == n.self || !p.suspected(at) {
+			return vm, allNew, 0
+		}
+		retryAt = min(retryAt, p.suspectedUntil())
+	}
+	return "", allNew, min(retryAt, at.Add(suspicionTime))
+}
+
+// ask sends the request of a planned call.
+func (n *Node) ask(at entity.Time, c *call) {
+	request := Request{From: n.self, AllNew: c.allNew, Wants: make([]Want, len(c.accounts))}
+	for i, a := range c.accounts {
+		request.Wants[i] = Want{Name: a.name, Limits: a.limits, Tokens: a.want(at, n.holder.leaseTime), Past: a.past(at, nil)}
+	}
+	if c.to == n.self {
+		n.serve(at, c.pending, &request)
+		return
+	}
+	n.send(c, request, askTimeout)
+}
+
+func (n *Node) send(c *call, request Request, timeout time.Duration) {
+	n.lastCall++
+	n.calls[n.lastCall] = c
+	n.effects.Sends = append(n.effects.Sends, Send{ID: n.lastCall, To: c.to, Request: request, Timeout: timeout})
+}
+
+// Receive handles a request of another proxy. A Reply follows.
+func (n *Node) Receive(at entity.Time, id ReplyID, request *Request) {
+	n.limiter.Tick(at)
+	p := &pending{reply: id}
+	if request.Relay != "" && request.Relay != n.self {
+		passed := *request
+		passed.Relay = ""
+		n.send(&call{kind: callRelay, to: request.Relay, target: request.Relay, sentAt: at, pending: p}, passed, relayTimeout)
+		return
+	}
+	n.serve(at, p, request)
+}
+
+// serve grants tokens or asks the limiter for them.
+func (n *Node) serve(at entity.Time, p *pending, request *Request) {
+	age := at.Sub(n.startedAt)
+	if n.startedAt == 0 {
+		age = 0
+	}
+	needed := slices.ContainsFunc(request.Wants, func(w Want) bool { return w.Tokens > 0 })
+	if age < newTime && needed && !request.AllNew {
+		p.answer.NewFor = newTime - age
+		n.complete(at, p, true)
+		return
+	}
+	p.answer.Grants = make([]Grant, len(request.Wants))
+	var forwards []*call
+	for i := range request.Wants {
+		if age < minAge {
+			p.answer.Grants[i].RetryAfter = minAge - age
+			continue
+		}
+		forwards = n.serveWant(at, p, request, i, forwards)
+	}
+	if len(forwards) == 0 {
+		n.complete(at, p, true)
+		return
+	}
+	p.open = len(forwards)
+	for _, c := range forwards {
+		n.forward(at, c, request)
+	}
+}
+
+// serveWant grants tokens to one organisation, or adds it to a forwarded request.
+func (n *Node) serveWant(at entity.Time, p *pending, request *Request, i int, forwards []*call) []*call {
+	w, g := &request.Wants[i], &p.answer.Grants[i]
+	to, relay, r := n.decide(at, w.Name, request.AllNew)
+	switch {
+	case to == n.self:
+		*g = n.grant(at, w, r)
+	case to == "" || request.Forwarded || w.Tokens == 0:
+		g.RetryAfter = retryUnknown
+	default:
+		for _, c := range forwards {
+			if c.target == to {
+				c.wants = append(c.wants, i)
+				return forwards
+			}
+		}
+		c := &call{kind: callForward, to: to, target: to, sentAt: at, pending: p, wants: []int{i}}
+		if relay != "" {
+			c.to = relay
+		}
+		return append(forwards, c)
+	}
+	return forwards
+}
+
+// decide returns the limiter of an organisation as this proxy sees it, and the relay
+// through which to reach it. It returns no limiter while a candidate that did not answer is
+// being probed.
+func (n *Node) decide(at entity.Time, name organisation.Name, allNew bool) (to, relay entity.VM, r role) {
+	list := n.candidates.of(name)
+	if allNew {
+		r = roleNew
+	} else {
+		list, _ = n.candidates.active(at, name, n.buffer)
+		n.buffer = list
+	}
+	for _, vm := range list {
+		if vm == n.self {
+			return vm, "", r
+		}
+		p := n.candidates.peers[vm]
+		switch {
+		case p.deadUntil > at:
+			n.probe(at, vm, p)
+			r = roleStandIn
+		case !p.suspected(at):
+			return vm, "", r
+		case p.relayUntil > at:
+			return vm, p.relay, r
+		default:
+			n.probe(at, vm, p)
+			return "", "", r
+		}
+	}
+	return "", "", r
+}
+
+func (n *Node) grant(at entity.Time, w *Want, r role) Grant {
+	limits := w.Limits
+	if own, ok := n.limitsOf(w.Name); ok {
+		limits = own
+	}
+	elsewhere := NoOtherLimiter
+	for _, past := range w.Past {
+		if past.By != n.self {
+			elsewhere = min(elsewhere, past.Ago)
+		}
+	}
+	n.limiter.assume(at, w.Name, r)
+	tokens, retryAfter := n.limiter.Grant(at, w.Name, limits, w.Tokens, elsewhere)
+	return Grant{Tokens: tokens, RetryAfter: retryAfter, By: n.self}
+}
+
+// probe finds out whether a candidate can be reached directly or through another proxy. The
+// probe tells it which organisations this proxy limited in its place.
+func (n *Node) probe(at entity.Time, vm entity.VM, p *peer) {
+	if p.probes > 0 {
+		return
+	}
+	p.probes, p.reached = 1, false
+	n.send(&call{kind: callProbe, to: vm, target: vm, sentAt: at}, Request{From: n.self, Wants: n.standInReport(at, vm)}, probeTimeout)
+	for _, relay := range n.chooseRelays(at, vm) {
+		p.probes++
+		n.send(&call{kind: callProbe, to: relay, target: vm, sentAt: at}, Request{From: n.self, Relay: vm}, probeTimeout)
+	}
+}
+
+// standInReport returns the organisations whose first candidate is vm and for which this
+// proxy stood in during the last window.
+func (n *Node) standInReport(at entity.Time, vm entity.VM) []Want {
+	var wants []Want
+	for name := range n.limiter.buckets {
+		last, ok := n.limiter.lastStandIn(name)
+		if ok && at.Sub(last) < n.parameters.Window && len(wants) < maxWants && slices.Contains(n.candidates.of(name), vm) {
+			wants = append(wants, Want{Name: name, Limits: n.limiter.buckets[name].limits, Past: []PastGrant{{n.self, at.Sub(last)}}})
+		}
+	}
+	return wants
+}
+
+// chooseRelays returns other proxies that answered lately or have not failed.
+func (n *Node) chooseRelays(at entity.Time, except entity.VM) []entity.VM {
+	var usable []entity.VM
+	for vm, p := range n.candidates.peers {
+		if vm != n.self && vm != except && p.removedAt == 0 && !p.suspected(at) {
+			usable = append(usable, vm)
+		}
+	}
+	slices.Sort(usable)
+	for i := range min(relays, len(usable)) {
+		j := i + n.random.IntN(len(usable)-i)
+		usable[i], usable[j] = usable[j], usable[i]
+	}
+	return usable[:min(relays, len(usable))]
+}
+
+// forward passes wants on to their limiter.
+func (n *Node) forward(at entity.Time, c *call, request *Request) {
+	passed := Request{From: n.self, Forwarded: true, AllNew: request.AllNew, Wants: make([]Want, len(c.wants))}
+	if c.to != c.target {
+		passed.Relay = c.target
+	}
+	for j, i := range c.wants {
+		w := request.Wants[i]
+		if last, ok := n.limiter.lastStandIn(w.Name); ok {
+			w.Past = append(slices.Clone(w.Past), PastGrant{n.self, at.Sub(last)})
+		}
+		passed.Wants[j] = w
+	}
+	n.send(c, passed, forwardTimeout)
+}
+
+// Answered handles the answer to a request, or its failure.
+func (n *Node) Answered(at entity.Time, id CallID, answer *Answer, ok bool) {
+	c, known := n.calls[id]
+	if !known {
+		return
+	}
+	delete(n.calls, id)
+	p := n.candidates.peers[c.to]
+	if p == nil {
+		p = &peer{}
+	}
+	if c.to == c.target {
+		if ok {
+			p.recordAnswer(at)
+		} else {
+			p.recordFailure(at)
+		}
+	}
+	switch c.kind {
+	case callAsk:
+		n.finishAsk(at, c, answer, ok)
+	case callForward:
+		n.finishForward(at, c, answer, ok)
+	case callRelay:
+		if ok {
+			c.pending.answer = *answer
+		}
+		n.complete(at, c.pending, ok)
+	case callProbe:
+		n.finishProbe(at, c, ok)
+	}
+	n.poll(at)
+}
+
+func (n *Node) finishForward(at entity.Time, c *call, answer *Answer, ok bool) {
+	if !ok && c.to != c.target {
+		if p := n.candidates.peers[c.target]; p != nil {
+			p.relayUntil = 0
+		}
+	}
+	if ok && answer.NewFor > 0 {
+		n.recordNew(at, c.target, answer.NewFor)
+	}
+	for j, i := range c.wants {
+		if ok && j < len(answer.Grants) {
+			c.pending.answer.Grants[i] = answer.Grants[j]
+		} else {
+			c.pending.answer.Grants[i].RetryAfter = retryUnknown
+		}
+	}
+	if c.pending.open--; c.pending.open == 0 {
+		n.complete(at, c.pending, true)
+	}
+}
+
+func (n *Node) finishProbe(at entity.Time, c *call, ok bool) {
+	p := n.candidates.peers[c.target]
+	if p == nil {
+		return
+	}
+	p.probes--
+	if ok {
+		p.reached, p.deadUntil = true, 0
+		if c.to != c.target {
+			p.relay, p.relayUntil = c.to, at.Add(relayTime)
+		}
+	}
+	if p.probes == 0 && !p.reached {
+		p.deadUntil = at.Add(deadTime)
+	}
+}
+
+func (n *Node) recordNew(at entity.Time, vm entity.VM, newFor time.Duration) {
+	if p := n.candidates.peers[vm]; p != nil {
+		p.newUntil = at.Add(newFor)
+	}
+}
+
+// complete answers a request.
+func (n *Node) complete(at entity.Time, p *pending, ok bool) {
+	if p.local != nil {
+		n.finishAsk(at, p.local, &p.answer, ok)
+		return
+	}
+	n.effects.Replies = append(n.effects.Replies, Reply{ID: p.reply, Answer: p.answer, OK: ok})
+}
+
+// finishAsk deposits the granted tokens. The lease counts from the sending of the request.
+func (n *Node) finishAsk(at entity.Time, c *call, answer *Answer, ok bool) {
+	if p := n.candidates.peers[c.to]; p != nil {
+		p.asking = false
+	}
+	if ok && answer.NewFor > 0 {
+		n.recordNew(at, c.to, answer.NewFor)
+	}
+	for i, a := range c.accounts {
+		a.asking = false
+		n.need(a)
+		if !ok || i >= len(answer.Grants) {
+			continue
+		}
+		g := answer.Grants[i]
+		if g.Tokens > 0 {
+			a.recordGrant(at, g.By)
+			a.deposit(at, g.Tokens, c.sentAt.Add(n.holder.leaseTime))
+		}
+		if g.RetryAfter > 0 {
+			a.nextAsk = at.Add(g.RetryAfter)
+		}
+		n.settle(at, a)
+	}
+}
+
+// Counters returns the operations of all organisations at this proxy, and the tokens that it
+// granted as a limiter.
+func (n *Node) Counters() (total Counters, granted uint64) { return n.holder.total, n.limiter.granted }
+
+// Row describes an organisation at this proxy.
+type Row struct {
+	Name   organisation.Name
+	Limits Limits
+	// Tokens are the leased tokens, Waiting the operations that wait for one.
+	Tokens, Waiting int
+	// Limiter is the proxy that granted tokens last, empty if none did.
+	Limiter entity.VM
+	// Demand is the recent rate of operations per second.
+	Demand   float64
+	Limited  bool
+	Counters Counters
+}
+
+// Rows returns up to limit rows, ordered by name.
+func (n *Node) Rows(at entity.Time, limit int) []Row {
+	names := slices.Sorted(maps.Keys(n.holder.accounts))
+	rows := make([]Row, 0, min(limit, len(names)))
+	for _, name := range names[:min(limit, len(names))] {
+		a := n.holder.accounts[name]
+		a.decay(at, n.holder.leaseTime)
+		rows = append(rows, Row{
+			Name: name, Limits: a.limits, Tokens: a.tokens(at), Waiting: len(a.queue), Limiter: a.grants[0].by,
+			Demand: a.demand, Limited: a.limited, Counters: a.counters,
+		})
+	}
+	return rows
+}
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -104,6 +104,9 @@
 		mux.Handle("/", server.Handler)
 		mux.HandleFunc("GET "+managed.DocumentPath, p.ServeDocument)
 		mux.HandleFunc("GET "+managed.ChangesPath, p.ServeChanges)
+		if quotas := p.QuotaHandler(); quotas != nil {
+			mux.Handle(managed.QuotaPath, quotas)
+		}
 		server.Handler = mux
 		if err := serveHTTP(log, server, settings.MetricsAddress); err != nil {
 			return err
--- a/internal/managed/metrics.go
+++ b/internal/managed/metrics.go
@@ -52,6 +52,7 @@
 	for _, d := range p.sortedDatabases() {
 		sample.Databases = append(sample.Databases, d.sample())
 	}
+	sample.Quota = p.quotaSample()
 	return sample, nil
 }
 
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -16,6 +16,7 @@
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
+	"skylarkhinge.dev/skylarkhinge/internal/managed/quota"
 	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
@@ -63,6 +64,8 @@
 	sessions         map[*session]struct{}
 	// ctx is the context of Serve.
 	ctx context.Context
+	// quotas is nil if the settings have no quota window.
+	quotas *quota.Service
 }
 
 // EnableMetrics creates the proxy's metrics. It must be called before Serve.
@@ -92,6 +95,7 @@
 	}
 	p.applySettings(options.Settings)
 	p.currentDocument.Store(&Document{})
+	p.quotas = newQuotas(p)
 	return p
 }
 
@@ -184,6 +188,10 @@
 		newStoreSync(p).run(ctx)
 	}()
 	go p.logSummaries(ctx)
+	if p.quotas != nil {
+		p.quotas.Start()
+		defer p.quotas.Stop()
+	}
 	accepted := make(chan error, 2)
 	go func() { accepted <- p.accept(listener, false) }()
 	if peers != nil {
--- /dev/null
+++ b/internal/managed/quota/wire.go
@@ -0,0 +1,93 @@
+package quota
+
+import (
+	"time"
+
+	core "skylarkhinge.dev/skylarkhinge/core/quota"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
+)
+
+// requestBody is the body of a request for tokens. Durations are in milliseconds.
+type requestBody struct {
+	From      entity.VM  `json:"from"`
+	Relay     entity.VM  `json:"relay,omitempty"`
+	Forwarded bool       `json:"forwarded,omitempty"`
+	AllNew    bool       `json:"all_new,omitempty"`
+	Wants     []wantBody `json:"wants,omitempty"`
+}
+
+type wantBody struct {
+	Name   organisation.Name `json:"name"`
+	Rate   float64           `json:"rate"`
+	Burst  float64           `json:"burst"`
+	Tokens int               `json:"tokens"`
+	Past   []pastBody        `json:"past,omitempty"`
+}
+
+type pastBody struct {
+	By    entity.VM `json:"by"`
+	AgoMS float64   `json:"ago_ms"`
+}
+
+// answerBody is the body of an answer. Durations are in milliseconds.
+type answerBody struct {
+	NewForMS float64     `json:"new_for_ms,omitempty"`
+	Grants   []grantBody `json:"grants,omitempty"`
+}
+
+type grantBody struct {
+	Tokens       int       `json:"tokens"`
+	RetryAfterMS float64   `json:"retry_after_ms,omitempty"`
+	By           entity.VM `json:"by,omitempty"`
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// maxMS bounds the durations that are accepted from other proxies.
+const maxMS = float64(24 * time.Hour / time.Millisecond)
+
+func duration(ms float64) time.Duration {
+	return time.Duration(max(0, min(ms, maxMS)) * float64(time.Millisecond))
+}
+
+func encodeRequest(r *core.Request) requestBody {
+	body := requestBody{r.From, r.Relay, r.Forwarded, r.AllNew, make([]wantBody, len(r.Wants))}
+	for i := range r.Wants {
+		w := &r.Wants[i]
+		body.Wants[i] = wantBody{Name: w.Name, Rate: w.Limits.Rate, Burst: w.Limits.Burst, Tokens: w.Tokens}
+		for _, p := range w.Past {
+			body.Wants[i].Past = append(body.Wants[i].Past, pastBody{p.By, milliseconds(p.Ago)})
+		}
+	}
+	return body
+}
+
+func (b *requestBody) decode() core.Request {
+	r := core.Request{From: b.From, Relay: b.Relay, Forwarded: b.Forwarded, AllNew: b.AllNew, Wants: make([]core.Want, len(b.Wants))}
+	for i := range b.Wants {
+		w := &b.Wants[i]
+		r.Wants[i] = core.Want{Name: w.Name, Limits: core.Limits{Rate: w.Rate, Burst: w.Burst}, Tokens: w.Tokens}
+		for _, p := range w.Past {
+			r.Wants[i].Past = append(r.Wants[i].Past, core.PastGrant{By: p.By, Ago: duration(p.AgoMS)})
+		}
+	}
+	return r
+}
+
+func encodeAnswer(a *core.Answer) answerBody {
+	body := answerBody{milliseconds(a.NewFor), make([]grantBody, len(a.Grants))}
+	for i, g := range a.Grants {
+		body.Grants[i] = grantBody{g.Tokens, milliseconds(g.RetryAfter), g.By}
+	}
+	return body
+}
+
+func (b *answerBody) decode() core.Answer {
+	a := core.Answer{NewFor: duration(b.NewForMS), Grants: make([]core.Grant, len(b.Grants))}
+	for i, g := range b.Grants {
+		a.Grants[i] = core.Grant{Tokens: max(0, g.Tokens), RetryAfter: duration(g.RetryAfterMS), By: g.By}
+	}
+	return a
+}
--- a/internal/telemetry/sample.go
+++ b/internal/telemetry/sample.go
@@ -22,6 +22,24 @@
 	InFlight  int
 	Documents []DocumentSample
 	Databases []DatabaseSample
+	// Quota is nil if the proxy has no quotas.
+	Quota *QuotaSample
+}
+
+// QuotaSample has counts since the start of the proxy.
+type QuotaSample struct {
+	Admitted, Waited, Refused uint64
+	// Granted is the number of tokens granted as a limiter.
+	Granted uint64
+	// Refusals are the refused operations of a bounded number of organisations. The empty
+	// name stands for all others.
+	Refusals []OrganisationSample
+}
+
+// OrganisationSample is a count of one organisation.
+type OrganisationSample struct {
+	Name  string
+	Count uint64
 }
 
 // DocumentSample is the revision of a service's document in force.
@@ -51,6 +69,7 @@
 // gauges are the instruments whose values come from samples.
 type gauges struct {
 	callers, inFlight, revision, queued, slots, connections metric.Int64ObservableGauge
+	quotaOperations, quotaGranted, quotaRefusals            metric.Int64ObservableGauge
 }
 
 func (m *Metrics) defineGauges(sample Sampler) {
@@ -61,6 +80,10 @@
 		queued:      m.gauge("queue_length", "Queued requests of an owned database."),
 		slots:       m.gauge("slots_used", "Slots in use by this proxy."),
 		connections: m.gauge("upstream_connections", "Open connections of this proxy to upstreams."),
+
+		quotaOperations: m.gauge("quota_operations", "Operations of organisations with a quota since the start, by decision."),
+		quotaGranted:    m.gauge("quota_tokens_granted", "Tokens granted as a limiter since the start."),
+		quotaRefusals:   m.gauge("quota_refusals", "Refused operations since the start of the organisations with the most of them."),
 	}
 	if m.err != nil {
 		return
@@ -73,7 +96,8 @@
 		}
 		return nil
 	}
-	_, err := m.meter.RegisterCallback(observe, g.callers, g.inFlight, g.revision, g.queued, g.slots, g.connections)
+	_, err := m.meter.RegisterCallback(observe, g.callers, g.inFlight, g.revision, g.queued, g.slots, g.connections,
+		g.quotaOperations, g.quotaGranted, g.quotaRefusals)
 	m.err = errors.Join(m.err, err)
 }
 
@@ -92,6 +116,19 @@
 	for i := range s.Databases {
 		g.observeDatabase(o, &s.Databases[i])
 	}
+	if s.Quota != nil {
+		g.observeQuota(o, s.Quota)
+	}
+}
+
+func (g *gauges) observeQuota(o metric.Observer, q *QuotaSample) {
+	for kind, count := range map[string]uint64{"admitted": q.Admitted, "waited": q.Waited, "refused": q.Refused} {
+		o.ObserveInt64(g.quotaOperations, int64(count), metric.WithAttributes(attribute.String("kind", kind)))
+	}
+	o.ObserveInt64(g.quotaGranted, int64(q.Granted))
+	for _, r := range q.Refusals {
+		o.ObserveInt64(g.quotaRefusals, int64(r.Count), metric.WithAttributes(attribute.String("organisation", r.Name)))
+	}
 }
 
 func (g *gauges) observeDatabase(o metric.Observer, d *DatabaseSample) {
