--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -82,14 +82,6 @@
 // Counters count the operations of an organisation at one proxy.
 type Counters struct{ Admitted, Waited, Refused uint64 }
 
-func (a *account) expire(at entity.Time) {
-	for i := range a.leases {
-		if a.leases[i].end <= at {
-			a.leases[i].tokens = 0
-		}
-	}
-}
-
 // tokens returns the number of tokens that have not expired.
 func (a *account) tokens(at entity.Time) int {
 	total := 0
