--- a/core/quota/candidates.go
+++ b/core/quota/candidates.go
@@ -54,8 +54,16 @@
 	reached bool
 	// failures is the number of requests without an answer since the last answer.
 	failures int
-	// asking is set while a request for tokens of this proxy's holder is in flight.
-	asking bool
+	// asking is the request for tokens in flight of this proxy's holder, nil if there is
+	// none.
+	asking *call
+	// pinged is set once this proxy, being new, has asked whether the peer is new.
+	pinged bool
+}
+
+// late reports whether an answer is overdue.
+func (p *peer) late(at entity.Time) bool {
+	return p.asking != nil && at.Sub(p.asking.sentAt) >= hedgeTime
 }
 
 // suspected reports whether the proxy failed to answer lately.
@@ -156,18 +164,21 @@
 	return order
 }
 
-// active returns the candidates that have not just started. If all have, it returns all of
-// them and true.
-func (c *candidates) active(at entity.Time, name organisation.Name, buffer []entity.VM) (active []entity.VM, allNew bool) {
+// active returns the candidates, those that have just started last. The first settled of them
+// have not.
+func (c *candidates) active(at entity.Time, name organisation.Name, buffer []entity.VM) (ordered []entity.VM, settled int) {
 	order := c.of(name)
-	active = buffer[:0]
+	ordered = buffer[:0]
 	for _, vm := range order {
 		if c.peers[vm].newUntil <= at {
-			active = append(active, vm)
+			ordered = append(ordered, vm)
 		}
 	}
-	if len(active) == 0 {
-		return append(active, order...), true
+	settled = len(ordered)
+	for _, vm := range order {
+		if c.peers[vm].newUntil > at {
+			ordered = append(ordered, vm)
+		}
 	}
-	return active, false
+	return ordered, settled
 }
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -62,9 +62,11 @@
 	leases [maxLeases]lease
 	debt   int
 	queue  []waiter
-	// asking is set while a request for tokens is in flight, listed while the account is in
-	// the node's list of accounts that need tokens. Before nextAsk the limiter has no tokens.
-	asking  bool
+	// call is the request for tokens in flight, sent at askedAt, nil if there is none. listed
+	// is set while the account is in the node's list of accounts that need tokens. Before
+	// nextAsk the limiter has no tokens.
+	call    *call
+	askedAt entity.Time
 	listed  bool
 	nextAsk entity.Time
 	// demand is the recent rate of operations per second, estimated at demandAt.
@@ -261,7 +263,7 @@
 	}
 	h.lastSweep = at
 	for name, a := range h.accounts {
-		if at.Sub(a.lastUse) > accountRetention && len(a.queue) == 0 && !a.asking {
+		if at.Sub(a.lastUse) > accountRetention && len(a.queue) == 0 && a.call == nil {
 			delete(h.accounts, name)
 		}
 	}
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -14,9 +14,15 @@
 	Relay entity.VM
 	// Forwarded is set if a proxy that is not the limiter passed the request on.
 	Forwarded bool
-	// AllNew is set if the sender knows no candidate that has been running for long.
-	AllNew bool
-	Wants  []Want
+	// New are candidates that have just started, as far as the sender knows.
+	New   []NewProxy
+	Wants []Want
+}
+
+// NewProxy is a proxy that has just started and counts as new for some more time.
+type NewProxy struct {
+	VM  entity.VM
+	For time.Duration
 }
 
 // Want is the need of one organisation.
@@ -36,10 +42,9 @@
 
 // Answer is a limiter's answer.
 type Answer struct {
-	// NewFor is the time for which the answering proxy does not act as a limiter, because it
-	// has just started; 0 if it does.
-	NewFor time.Duration
-	// Grants has one element for each want, in the same order. It is empty if NewFor is set.
+	// New are candidates that have just started, as far as the sender knows.
+	New []NewProxy
+	// Grants has one element for each want, in the same order.
 	Grants []Grant
 }
 
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -27,6 +27,12 @@
 	maxAsked = 3
 	// maxWants bounds the organisations in one request.
 	maxWants = 512
+	// hedgeTime is the time after which a holder with waiting operations asks the next
+	// candidate as well. An answer takes up to 24 ms between regions, twice that if it is
+	// forwarded. A lost message would otherwise take longer than operations wait.
+	hedgeTime = 50 * time.Millisecond
+	// maxNew bounds the new proxies that a message names.
+	maxNew = 32
 	// relays is the number of other proxies that probe a candidate.
 	relays = 2
 	// TickInterval is the interval at which Wake must be called at least. It is shorter than
@@ -44,6 +50,7 @@
 	callForward
 	callRelay
 	callProbe
+	callPing
 )
 
 // call is a request in flight.
@@ -51,10 +58,8 @@
 	kind   callKind
 	to     entity.VM
 	sentAt entity.Time
-	// accounts are those that a callAsk is for. allNew is set if all their candidates have
-	// just started.
+	// accounts are those that a callAsk is for.
 	accounts []*account
-	allNew   bool
 	// wants are the indexes of the forwarded wants in the pending answer.
 	wants   []int
 	pending *pending
@@ -66,6 +71,7 @@
 type pending struct {
 	reply  ReplyID
 	local  *call
+	wants  []Want
 	answer Answer
 	open   int
 }
@@ -131,9 +137,9 @@
 // is. If it becomes the first again, the bucket starts empty.
 func (n *Node) forgetOthers(at entity.Time) {
 	for name, b := range n.limiter.buckets {
-		active, _ := n.candidates.active(at, name, n.buffer)
-		n.buffer = active
-		if b.role == roleFirst && (len(active) == 0 || active[0] != n.self) {
+		ordered, settled := n.candidates.active(at, name, n.buffer)
+		n.buffer = ordered
+		if b.role == roleFirst && (settled == 0 || ordered[0] != n.self) {
 			n.limiter.Forget(name)
 		}
 	}
@@ -153,7 +159,7 @@
 	if !a.listed && (d == Waiting || a.want(at, n.holder.leaseTime) > 0) {
 		n.need(a)
 	}
-	if a.listed && !a.asking {
+	if a.listed && a.call == nil {
 		n.poll(at)
 	}
 	return d, ticket, retryAfter
@@ -211,7 +217,10 @@
 func (n *Node) NextDue(at entity.Time) entity.Time {
 	next := entity.Never
 	for _, a := range n.needing {
-		if !a.asking && a.nextAsk > at {
+		switch {
+		case a.call != nil && len(a.queue) > 0:
+			next = min(next, a.askedAt.Add(hedgeTime))
+		case a.call == nil && a.nextAsk > at:
 			next = min(next, a.nextAsk)
 		}
 		for _, w := range a.queue {
@@ -228,12 +237,15 @@
 	kept := n.needing[:0]
 	for _, a := range n.needing {
 		n.settle(at, a)
-		if len(a.queue) == 0 && !a.asking && (at < a.nextAsk || a.want(at, n.holder.leaseTime) == 0) {
+		if a.call != nil && len(a.queue) > 0 && at.Sub(a.askedAt) >= hedgeTime {
+			a.call = nil
+		}
+		if len(a.queue) == 0 && a.call == nil && (at < a.nextAsk || a.want(at, n.holder.leaseTime) == 0) {
 			a.listed = false
 			continue
 		}
 		kept = append(kept, a)
-		if a.asking || at < a.nextAsk {
+		if a.call != nil || at < a.nextAsk {
 			continue
 		}
 		asks = n.plan(at, a, asks)
@@ -258,51 +270,55 @@
 
 // plan adds an account to the request to its limiter.
 func (n *Node) plan(at entity.Time, a *account, asks []*call) []*call {
-	target, allNew, retryAt := n.target(at, a.name)
+	target, retryAt := n.target(at, a.name)
 	if target == "" {
 		a.nextAsk = max(retryAt, at.Add(time.Millisecond))
 		n.settle(at, a)
 		return asks
 	}
 	for _, c := range asks {
-		if c.to == target && c.allNew == allNew && len(c.accounts) < maxWants {
-			a.asking = true
+		if c.to == target && len(c.accounts) < maxWants {
+			a.call, a.askedAt = c, at
 			c.accounts = append(c.accounts, a)
 			return asks
 		}
 	}
 	p := n.candidates.peers[target]
-	if p.asking {
+	if p.asking != nil {
 		return asks
 	}
-	p.asking, a.asking = true, true
-	c := &call{kind: callAsk, to: target, target: target, sentAt: at, accounts: []*account{a}, allNew: allNew}
+	c := &call{kind: callAsk, to: target, target: target, sentAt: at, accounts: []*account{a}}
+	p.asking, a.call, a.askedAt = c, c, at
 	c.pending = &pending{local: c}
 	return append(asks, c)
 }
 
 // target returns the proxy to ask for an organisation's tokens. It is empty if none can be
 // asked before retryAt.
-func (n *Node) target(at entity.Time, name organisation.Name) (target entity.VM, allNew bool, retryAt entity.Time) {
-	active, allNew := n.candidates.active(at, name, n.buffer)
-	n.buffer = active
+func (n *Node) target(at entity.Time, name organisation.Name) (target entity.VM, retryAt entity.Time) {
+	ordered, settled := n.candidates.active(at, name, n.buffer)
+	n.buffer = ordered
 	retryAt = entity.Never
-	for _, vm := range active[:min(len(active), maxAsked)] {
+	for i, vm := range ordered {
+		if i >= maxAsked && i < settled || i >= settled+maxAsked {
+			continue
+		}
 		p := n.candidates.peers[vm]
-		if vm == n.self || !p.suspected(at) {
-			return vm, allNew, 0
+		if vm == n.self || !p.suspected(at) && !p.late(at) {
+			return vm, 0
 		}
-		retryAt = min(retryAt, p.suspectedUntil())
+		retryAt = min(retryAt, max(p.suspectedUntil(), at.Add(retryUnknown)))
 	}
-	return "", allNew, min(retryAt, at.Add(suspicionTime))
+	return "", min(retryAt, at.Add(suspicionTime))
 }
 
 // ask sends the request of a planned call.
 func (n *Node) ask(at entity.Time, c *call) {
-	request := Request{From: n.self, AllNew: c.allNew, Wants: make([]Want, len(c.accounts))}
+	request := Request{From: n.self, Wants: make([]Want, len(c.accounts))}
 	for i, a := range c.accounts {
 		request.Wants[i] = Want{Name: a.name, Limits: a.limits, Tokens: a.want(at, n.holder.leaseTime), Past: a.past(at, nil)}
 	}
+	request.New = n.newCandidates(at, request.Wants)
 	if c.to == n.self {
 		n.serve(at, c.pending, &request)
 		return
@@ -331,22 +347,17 @@
 
 // serve grants tokens or asks the limiter for them.
 func (n *Node) serve(at entity.Time, p *pending, request *Request) {
+	n.recordNew(at, request.New)
 	age := at.Sub(n.startedAt)
 	if n.startedAt == 0 {
 		age = 0
 	}
-	needed := slices.ContainsFunc(request.Wants, func(w Want) bool { return w.Tokens > 0 })
-	if age < newTime && needed && !request.AllNew {
-		p.answer.NewFor = newTime - age
-		n.complete(at, p, true)
-		return
-	}
+	p.wants = request.Wants
 	p.answer.Grants = make([]Grant, len(request.Wants))
 	var forwards []*call
 	for i := range request.Wants {
-		if age < minAge {
-			p.answer.Grants[i].RetryAfter = minAge - age
-			continue
+		if age < newTime {
+			n.ping(at, request.Wants[i].Name)
 		}
 		forwards = n.serveWant(at, p, request, i, forwards)
 	}
@@ -360,11 +371,60 @@
 	}
 }
 
+// ping asks the candidates of an organisation that this proxy, which is new, knows nothing
+// of whether they are new as well.
+func (n *Node) ping(at entity.Time, name organisation.Name) {
+	for _, vm := range n.candidates.of(name) {
+		p := n.candidates.peers[vm]
+		if vm == n.self || p.pinged {
+			continue
+		}
+		p.pinged = true
+		n.send(&call{kind: callPing, to: vm, target: vm, sentAt: at}, Request{From: n.self, New: n.newCandidates(at, nil)}, probeTimeout)
+	}
+}
+
+// newCandidates returns this proxy, if it is new, and the new candidates of the organisations
+// of some wants.
+func (n *Node) newCandidates(at entity.Time, wants []Want) []NewProxy {
+	var found []NewProxy
+	add := func(vm entity.VM, until entity.Time) {
+		if until > at && len(found) < maxNew && !slices.ContainsFunc(found, func(p NewProxy) bool { return p.VM == vm }) {
+			found = append(found, NewProxy{vm, until.Sub(at)})
+		}
+	}
+	add(n.self, n.newUntil())
+	for i := range wants {
+		for _, vm := range n.candidates.of(wants[i].Name) {
+			add(vm, n.candidates.peers[vm].newUntil)
+		}
+	}
+	return found
+}
+
+// newUntil returns when this proxy no longer counts as new, 0 if it has no list yet.
+func (n *Node) newUntil() entity.Time {
+	if n.startedAt == 0 {
+		return 0
+	}
+	return n.startedAt.Add(newTime)
+}
+
+func (n *Node) recordNew(at entity.Time, proxies []NewProxy) {
+	for _, q := range proxies {
+		if p := n.candidates.peers[q.VM]; p != nil && q.VM != n.self {
+			p.newUntil = at.Add(min(q.For, newTime))
+		}
+	}
+}
+
 // serveWant grants tokens to one organisation, or adds it to a forwarded request.
 func (n *Node) serveWant(at entity.Time, p *pending, request *Request, i int, forwards []*call) []*call {
 	w, g := &request.Wants[i], &p.answer.Grants[i]
-	to, relay, r := n.decide(at, w.Name, request.AllNew)
+	to, relay, r := n.decide(at, w.Name)
 	switch {
+	case to == n.self && at.Sub(n.startedAt) < minAge:
+		g.RetryAfter = minAge - at.Sub(n.startedAt)
 	case to == n.self:
 		*g = n.grant(at, w, r)
 	case to == "" || request.Forwarded || w.Tokens == 0:
@@ -388,15 +448,13 @@
 // decide returns the limiter of an organisation as this proxy sees it, and the relay
 // through which to reach it. It returns no limiter while a candidate that did not answer is
 // being probed.
-func (n *Node) decide(at entity.Time, name organisation.Name, allNew bool) (to, relay entity.VM, r role) {
-	list := n.candidates.of(name)
-	if allNew {
-		r = roleNew
-	} else {
-		list, _ = n.candidates.active(at, name, n.buffer)
-		n.buffer = list
-	}
-	for _, vm := range list {
+func (n *Node) decide(at entity.Time, name organisation.Name) (to, relay entity.VM, r role) {
+	ordered, settled := n.candidates.active(at, name, n.buffer)
+	n.buffer = ordered
+	for i, vm := range ordered {
+		if i == settled {
+			r = roleNew
+		}
 		if vm == n.self {
 			return vm, "", r
 		}
@@ -478,7 +536,7 @@
 
 // forward passes wants on to their limiter.
 func (n *Node) forward(at entity.Time, c *call, request *Request) {
-	passed := Request{From: n.self, Forwarded: true, AllNew: request.AllNew, Wants: make([]Want, len(c.wants))}
+	passed := Request{From: n.self, Forwarded: true, Wants: make([]Want, len(c.wants))}
 	if c.to != c.target {
 		passed.Relay = c.target
 	}
@@ -489,6 +547,7 @@
 		}
 		passed.Wants[j] = w
 	}
+	passed.New = n.newCandidates(at, passed.Wants)
 	n.send(c, passed, forwardTimeout)
 }
 
@@ -503,6 +562,9 @@
 	if p == nil {
 		p = &peer{}
 	}
+	if ok {
+		n.recordNew(at, answer.New)
+	}
 	if c.to == c.target {
 		if ok {
 			p.recordAnswer(at)
@@ -532,9 +594,6 @@
 			p.relayUntil = 0
 		}
 	}
-	if ok && answer.NewFor > 0 {
-		n.recordNew(at, c.target, answer.NewFor)
-	}
 	for j, i := range c.wants {
 		if ok && j < len(answer.Grants) {
 			c.pending.answer.Grants[i] = answer.Grants[j]
@@ -564,14 +623,9 @@
 	}
 }
 
-func (n *Node) recordNew(at entity.Time, vm entity.VM, newFor time.Duration) {
-	if p := n.candidates.peers[vm]; p != nil {
-		p.newUntil = at.Add(newFor)
-	}
-}
-
 // complete answers a request.
 func (n *Node) complete(at entity.Time, p *pending, ok bool) {
+	p.answer.New = n.newCandidates(at, p.wants)
 	if p.local != nil {
 		n.finishAsk(at, p.local, &p.answer, ok)
 		return
@@ -581,14 +635,13 @@
 
 // finishAsk deposits the granted tokens. The lease counts from the sending of the request.
 func (n *Node) finishAsk(at entity.Time, c *call, answer *Answer, ok bool) {
-	if p := n.candidates.peers[c.to]; p != nil {
-		p.asking = false
-	}
-	if ok && answer.NewFor > 0 {
-		n.recordNew(at, c.to, answer.NewFor)
+	if p := n.candidates.peers[c.to]; p != nil && p.asking == c {
+		p.asking = nil
 	}
 	for i, a := range c.accounts {
-		a.asking = false
+		if a.call == c {
+			a.call = nil
+		}
 		n.need(a)
 		if !ok || i >= len(answer.Grants) {
 			continue
--- a/internal/managed/quota/wire.go
+++ b/internal/managed/quota/wire.go
@@ -14,10 +14,16 @@
 	From      entity.VM  `json:"from"`
 	Relay     entity.VM  `json:"relay,omitempty"`
 	Forwarded bool       `json:"forwarded,omitempty"`
-	AllNew    bool       `json:"all_new,omitempty"`
+	New       []newBody  `json:"new,omitempty"`
 	Wants     []wantBody `json:"wants,omitempty"`
 }
 
+// newBody is a proxy that has just started.
+type newBody struct {
+	VM    entity.VM `json:"vm"`
+	ForMS float64   `json:"for_ms"`
+}
+
 type wantBody struct {
 	Name   organisation.Name `json:"name"`
 	Rate   float64           `json:"rate"`
@@ -33,8 +39,8 @@
 
 // answerBody is the body of an answer. Durations are in milliseconds.
 type answerBody struct {
-	NewForMS float64     `json:"new_for_ms,omitempty"`
-	Grants   []grantBody `json:"grants,omitempty"`
+	New    []newBody   `json:"new,omitempty"`
+	Grants []grantBody `json:"grants,omitempty"`
 }
 
 type grantBody struct {
@@ -53,7 +59,7 @@
 }
 
 func encodeRequest(r *core.Request) requestBody {
-	body := requestBody{r.From, r.Relay, r.Forwarded, r.AllNew, make([]wantBody, len(r.Wants))}
+	body := requestBody{r.From, r.Relay, r.Forwarded, encodeNew(r.New), make([]wantBody, len(r.Wants))}
 	for i := range r.Wants {
 		w := &r.Wants[i]
 		body.Wants[i] = wantBody{Name: w.Name, Rate: w.Limits.Rate, Burst: w.Limits.Burst, Tokens: w.Tokens}
@@ -65,7 +71,7 @@
 }
 
 func (b *requestBody) decode() core.Request {
-	r := core.Request{From: b.From, Relay: b.Relay, Forwarded: b.Forwarded, AllNew: b.AllNew, Wants: make([]core.Want, len(b.Wants))}
+	r := core.Request{From: b.From, Relay: b.Relay, Forwarded: b.Forwarded, New: decodeNew(b.New), Wants: make([]core.Want, len(b.Wants))}
 	for i := range b.Wants {
 		w := &b.Wants[i]
 		r.Wants[i] = core.Want{Name: w.Name, Limits: core.Limits{Rate: w.Rate, Burst: w.Burst}, Tokens: w.Tokens}
@@ -77,7 +83,7 @@
 }
 
 func encodeAnswer(a *core.Answer) answerBody {
-	body := answerBody{milliseconds(a.NewFor), make([]grantBody, len(a.Grants))}
+	body := answerBody{encodeNew(a.New), make([]grantBody, len(a.Grants))}
 	for i, g := range a.Grants {
 		body.Grants[i] = grantBody{g.Tokens, milliseconds(g.RetryAfter), g.By}
 	}
@@ -85,9 +91,23 @@
 }
 
 func (b *answerBody) decode() core.Answer {
-	a := core.Answer{NewFor: duration(b.NewForMS), Grants: make([]core.Grant, len(b.Grants))}
+	a := core.Answer{New: decodeNew(b.New), Grants: make([]core.Grant, len(b.Grants))}
 	for i, g := range b.Grants {
 		a.Grants[i] = core.Grant{Tokens: max(0, g.Tokens), RetryAfter: duration(g.RetryAfterMS), By: g.By}
 	}
 	return a
 }
+
+func encodeNew(proxies []core.NewProxy) (body []newBody) {
+	for _, p := range proxies {
+		body = append(body, newBody{p.VM, milliseconds(p.For)})
+	}
+	return body
+}
+
+func decodeNew(body []newBody) (proxies []core.NewProxy) {
+	for _, p := range body {
+		proxies = append(proxies, core.NewProxy{VM: p.VM, For: duration(p.ForMS)})
+	}
+	return proxies
+}
