--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -17,8 +17,9 @@
 )
 
 var (
-	modelSeed  = flag.Uint64("quota.seed", 1, "first seed of TestModel")
-	modelDraws = flag.Int("quota.draws", 24, "number of draws of TestModel")
+	modelSeed   = flag.Uint64("quota.seed", 1, "first seed of TestModel")
+	modelStatic = flag.Bool("quota.static", false, "give each proxy a static share of the bound in TestModel, for comparison")
+	modelDraws  = flag.Int("quota.draws", 24, "number of draws of TestModel")
 )
 
 const (
@@ -63,8 +64,10 @@
 	// configuredAt is when the lowered limit reaches the proxy.
 	configuredAt entity.Time
 	waiting      map[Ticket]*modelOrganisation
-	replies      map[ReplyID]func(Reply)
-	lastReply    ReplyID
+	// ran are the operations of each organisation at this proxy, for static shares.
+	ran       map[*modelOrganisation][]entity.Time
+	replies   map[ReplyID]func(Reply)
+	lastReply ReplyID
 }
 
 type modelOrganisation struct {
@@ -254,6 +257,10 @@
 		return
 	}
 	m.countOwed(o)
+	if *modelStatic {
+		m.admitStatic(p, o)
+		return
+	}
 	decision, ticket, _ := p.node.Admit(m.now, o.name, m.limits(p, o), modelMaxWait)
 	switch decision {
 	case Admitted:
@@ -264,6 +271,20 @@
 	m.apply(p)
 }
 
+// admitStatic admits operations within the proxy's share of the bound.
+func (m *model) admitStatic(p *modelProxy, o *modelOrganisation) {
+	share := int(m.parameters.Bound(m.limits(p, o))) / len(m.proxies)
+	ran := p.ran[o]
+	if n := len(ran); share == 0 || n >= share && m.now.Sub(ran[n-share]) < m.parameters.Window {
+		return
+	}
+	if p.ran == nil {
+		p.ran = map[*modelOrganisation][]entity.Time{}
+	}
+	p.ran[o] = append(ran, m.now)
+	m.admitted(o)
+}
+
 func (m *model) countOwed(o *modelOrganisation) {
 	if m.now < entity.Time(modelWarmUp) {
 		return
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -149,6 +149,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(managed.DocumentPath, n.proxy.ServeDocument)
 	mux.HandleFunc(managed.ChangesPath, n.proxy.ServeChanges)
+	if quotas := n.proxy.QuotaHandler(); quotas != nil {
+		mux.Handle(managed.QuotaPath, quotas)
+	}
 	status.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.ignorePeers.Load() {
 			<-r.Context().Done()
