--- a/core/quota/candidates.go
+++ b/core/quota/candidates.go
@@ -21,9 +21,13 @@
 	// newTime is the time after its start for which a proxy leaves the limiting to older
 	// ones. Other proxies may have a list that is 8 s old and not know it.
 	newTime = 10 * time.Second
-	// minAge is the age below which a proxy never acts as a limiter. When a fleet starts, the
-	// lists of all proxies are complete after about 2 s.
-	minAge = 2 * time.Second
+	// minAge is the age below which a proxy never acts as a limiter. Below maxGrowth it does
+	// not either while its list grows, that is until no proxy was added for settleTime: when
+	// a fleet starts, the lists are complete after about 2 s, and a proxy that knows only
+	// some others would be the first for too many organisations.
+	minAge     = time.Second
+	settleTime = 800 * time.Millisecond
+	maxGrowth  = 4 * time.Second
 	// maxCandidates is the number of candidates that are considered for an organisation. If
 	// all of them have just started, the whole fleet has.
 	maxCandidates = 8
@@ -90,6 +94,8 @@
 	self  entity.VM
 	peers map[entity.VM]*peer
 	order map[organisation.Name][]entity.VM
+	// grownAt is when a proxy was last added.
+	grownAt entity.Time
 }
 
 func newCandidates(self entity.VM) *candidates {
@@ -110,6 +116,7 @@
 		p, known := c.peers[vm]
 		if !known {
 			c.peers[vm] = &peer{}
+			c.grownAt = at
 			changed = true
 		} else {
 			p.removedAt = 0
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -33,6 +33,9 @@
 	hedgeTime = 50 * time.Millisecond
 	// maxNew bounds the new proxies that a message names.
 	maxNew = 32
+	// minReportedNew is the time below which another proxy's word that a third one is new
+	// does not count.
+	minReportedNew = 500 * time.Millisecond
 	// relays is the number of other proxies that probe a candidate.
 	relays = 2
 	// TickInterval is the interval at which Wake must be called at least. It is shorter than
@@ -347,7 +350,7 @@
 
 // serve grants tokens or asks the limiter for them.
 func (n *Node) serve(at entity.Time, p *pending, request *Request) {
-	n.recordNew(at, request.New)
+	n.recordNew(at, request.From, request.New)
 	age := at.Sub(n.startedAt)
 	if n.startedAt == 0 {
 		age = 0
@@ -410,10 +413,30 @@
 	return n.startedAt.Add(newTime)
 }
 
-func (n *Node) recordNew(at entity.Time, proxies []NewProxy) {
+// readyAt returns the time from which this proxy may act as a limiter.
+func (n *Node) readyAt() entity.Time {
+	settled := min(n.candidates.grownAt.Add(settleTime), n.startedAt.Add(maxGrowth))
+	return max(n.startedAt.Add(minAge), settled)
+}
+
+// recordNew records new proxies that another one named. What it says of others only shortens
+// the time and counts only while it is long: otherwise the delays of messages add up, and
+// proxies that tell each other would count a third one as new forever.
+func (n *Node) recordNew(at entity.Time, from entity.VM, proxies []NewProxy) {
 	for _, q := range proxies {
-		if p := n.candidates.peers[q.VM]; p != nil && q.VM != n.self {
-			p.newUntil = at.Add(min(q.For, newTime))
+		p := n.candidates.peers[q.VM]
+		if p == nil || q.VM == n.self {
+			continue
+		}
+		until := at.Add(min(q.For, newTime))
+		switch {
+		case q.VM == from:
+			p.newUntil = until
+		case q.For < minReportedNew:
+		case p.newUntil > at:
+			p.newUntil = min(p.newUntil, until)
+		default:
+			p.newUntil = until
 		}
 	}
 }
@@ -423,8 +446,8 @@
 	w, g := &request.Wants[i], &p.answer.Grants[i]
 	to, relay, r := n.decide(at, w.Name)
 	switch {
-	case to == n.self && at.Sub(n.startedAt) < minAge:
-		g.RetryAfter = minAge - at.Sub(n.startedAt)
+	case to == n.self && at < n.readyAt():
+		g.RetryAfter = n.readyAt().Sub(at)
 	case to == n.self:
 		*g = n.grant(at, w, r)
 	case to == "" || request.Forwarded || w.Tokens == 0:
@@ -563,7 +586,7 @@
 		p = &peer{}
 	}
 	if ok {
-		n.recordNew(at, answer.New)
+		n.recordNew(at, c.target, answer.New)
 	}
 	if c.to == c.target {
 		if ok {
--- a/core/quota/parameters.go
+++ b/core/quota/parameters.go
@@ -27,25 +27,38 @@
 	return (l.Rate*p.Window.Seconds()+l.Burst)*(1+p.Overage) + p.Slack
 }
 
-// Refill returns the tokens that a bucket gains per second. Half of the spare capacity makes
-// up for tokens that expire; the rest is reserved for limiters that overlap for a moment. An
-// organisation without any quota gets no tokens.
+// spare returns what the bound leaves beyond the burst and the rate over a window and a
+// lease time. It may be negative.
+func (p Parameters) spare(l Limits) float64 {
+	return p.Bound(l) - l.Burst - l.Rate*(p.Window+p.Lease()).Seconds()
+}
+
+// none reports whether an organisation may run nothing.
+func (l Limits) none() bool { return l.Rate <= 0 && l.Burst <= 0 }
+
+// Refill returns the tokens that a bucket gains per second. A quarter of the spare makes up
+// for tokens that expire.
 func (p Parameters) Refill(l Limits) float64 {
-	if l.Rate <= 0 && l.Burst <= 0 {
+	if l.none() {
 		return 0
 	}
-	span := (p.Window + p.Lease()).Seconds()
-	available := p.Bound(l) - l.Burst
-	if available < l.Rate*span {
-		return available / span
+	spare := p.spare(l)
+	if spare > 0 {
+		spare /= spareParts
 	}
-	return l.Rate + (available-l.Rate*span)/(2*span)
+	return l.Rate + spare/(p.Window+p.Lease()).Seconds()
 }
 
-// Capacity returns the maximum number of tokens in a bucket.
+// Capacity returns the maximum number of tokens in a bucket: the burst, and a quarter of the
+// spare. Without the latter a bucket of a small burst holds fewer tokens than a holder
+// spends until the next answer.
 func (p Parameters) Capacity(l Limits) float64 {
-	if l.Rate <= 0 && l.Burst <= 0 {
+	if l.none() {
 		return 0
 	}
-	return max(1, l.Burst)
+	return max(1, l.Burst+max(0, p.spare(l)/spareParts))
 }
+
+// spareParts divides the spare: one part each for the refill and the capacity, two in reserve
+// for limiters that overlap for a moment.
+const spareParts = 4
