--- a/core/quota/candidates.go
+++ b/core/quota/candidates.go
@@ -26,8 +26,8 @@
 	// a fleet starts, the lists are complete after about 2 s, and a proxy that knows only
 	// some others would be the first for too many organisations.
 	minAge     = time.Second
-	settleTime = 800 * time.Millisecond
-	maxGrowth  = 4 * time.Second
+	settleTime = 500 * time.Millisecond
+	maxGrowth  = 2 * time.Second
 	// maxCandidates is the number of candidates that are considered for an organisation. If
 	// all of them have just started, the whole fleet has.
 	maxCandidates = 8
@@ -42,6 +42,8 @@
 	// deadTime is how long a proxy counts as failed after neither this proxy nor two relays
 	// reached it. It bounds the time for which two limiters grant tokens.
 	deadTime = 150 * time.Millisecond
+	// neededTime is how long a failed proxy is probed after it was last needed.
+	neededTime = 5 * time.Second
 )
 
 // peer is what a proxy knows of another one.
@@ -53,6 +55,8 @@
 	relay                entity.VM
 	relayUntil           entity.Time
 	deadUntil            entity.Time
+	// neededAt is when the peer was last a candidate before this proxy.
+	neededAt entity.Time
 	// probes is the number of probes in flight, reached whether one of them was answered.
 	probes  int
 	reached bool
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -181,9 +181,9 @@
 }
 
 func (m *model) updateList(p *modelProxy) {
-	p.node.Update(m.now, m.list(max(p.startedAt, m.now.Add(-p.stale))))
+	p.node.Update(m.now, m.list(max(p.startedAt, min(m.now, entity.Time(modelWarmUp)), m.now.Add(-p.stale))))
 	m.apply(p)
-	m.schedule(m.now.Add(500*time.Millisecond), p, func() { m.updateList(p) })
+	m.schedule(m.now.Add(200*time.Millisecond), p, func() { m.updateList(p) })
 }
 
 func (m *model) wake(p *modelProxy) {
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -482,6 +482,7 @@
 			return vm, "", r
 		}
 		p := n.candidates.peers[vm]
+		p.neededAt = at
 		switch {
 		case p.deadUntil > at:
 			n.probe(at, vm, p)
@@ -641,8 +642,13 @@
 			p.relay, p.relayUntil = c.to, at.Add(relayTime)
 		}
 	}
-	if p.probes == 0 && !p.reached {
-		p.deadUntil = at.Add(deadTime)
+	if p.probes > 0 || p.reached {
+		return
+	}
+	p.deadUntil = at.Add(deadTime)
+	if at.Sub(p.neededAt) < neededTime {
+		// Otherwise the next request would wait for a probe.
+		n.probe(at, c.target, p)
 	}
 }
 
--- a/internal/managed/quota/service.go
+++ b/internal/managed/quota/service.go
@@ -37,7 +37,7 @@
 }
 
 // updateInterval is the interval at which the list of proxies is read.
-const updateInterval = 500 * time.Millisecond
+const updateInterval = 200 * time.Millisecond
 
 // Service decides on operations of organisations with a quota. It is safe for concurrent
 // use.
