--- a/core/quota/parameters.go
+++ b/core/quota/parameters.go
@@ -36,17 +36,18 @@
 // none reports whether an organisation may run nothing.
 func (l Limits) none() bool { return l.Rate <= 0 && l.Burst <= 0 }
 
-// Refill returns the tokens that a bucket gains per second. A quarter of the spare makes up
-// for tokens that expire.
+// extra is the part of the spare that the refill and the capacity get each.
+func (p Parameters) extra(l Limits) float64 { return max(0, p.spare(l)/spareParts) }
+
+// Refill returns the tokens that a bucket gains per second: the rate, and a quarter of the
+// spare, which makes up for tokens that expire. In a window and a lease time, refill and
+// capacity together stay within the bound.
 func (p Parameters) Refill(l Limits) float64 {
 	if l.none() {
 		return 0
 	}
-	spare := p.spare(l)
-	if spare > 0 {
-		spare /= spareParts
-	}
-	return l.Rate + spare/(p.Window+p.Lease()).Seconds()
+	span := (p.Window + p.Lease()).Seconds()
+	return min(l.Rate+p.extra(l)/span, (p.Bound(l)-p.Capacity(l))/span)
 }
 
 // Capacity returns the maximum number of tokens in a bucket: the burst, and a quarter of the
@@ -56,7 +57,7 @@
 	if l.none() {
 		return 0
 	}
-	return max(1, l.Burst+max(0, p.spare(l)/spareParts))
+	return min(max(1, l.Burst+p.extra(l)), p.Bound(l))
 }
 
 // spareParts divides the spare: one part each for the refill and the capacity, two in reserve
