--- a/core/quota/candidates.go
+++ b/core/quota/candidates.go
@@ -22,12 +22,14 @@
 	// ones. Other proxies may have a list that is 8 s old and not know it.
 	newTime = 10 * time.Second
 	// minAge is the age below which a proxy never acts as a limiter. Below maxGrowth it does
-	// not either while its list grows, that is until no proxy was added for settleTime: when
-	// a fleet starts, the lists are complete after about 2 s, and a proxy that knows only
-	// some others would be the first for too many organisations.
-	minAge     = time.Second
-	settleTime = 500 * time.Millisecond
-	maxGrowth  = 2 * time.Second
+	// not either while its list grows, that is until no update has added more than
+	// 1/growthParts of the list for settleTime: when a fleet starts, the lists are complete
+	// after about 2 s, and a proxy that knows only some others would be the first for too
+	// many organisations.
+	minAge      = time.Second
+	settleTime  = 500 * time.Millisecond
+	maxGrowth   = 2 * time.Second
+	growthParts = 50
 	// maxCandidates is the number of candidates that are considered for an organisation. If
 	// all of them have just started, the whole fleet has.
 	maxCandidates = 8
@@ -48,6 +50,8 @@
 
 // peer is what a proxy knows of another one.
 type peer struct {
+	// update is the number of the last update that listed the proxy.
+	update uint64
 	// removedAt is when the proxy vanished from the list, 0 if it is listed.
 	removedAt            entity.Time
 	newUntil             entity.Time
@@ -98,7 +102,9 @@
 	self  entity.VM
 	peers map[entity.VM]*peer
 	order map[organisation.Name][]entity.VM
-	// grownAt is when a proxy was last added.
+	// updates is the number of updates of the list.
+	updates uint64
+	// grownAt is when an update last added a good part of the list.
 	grownAt entity.Time
 }
 
@@ -114,20 +120,20 @@
 // update replaces the list. It reports whether the candidates changed.
 func (c *candidates) update(at entity.Time, listed []entity.VM) bool {
 	changed := false
-	seen := make(map[entity.VM]bool, len(listed)+1)
+	c.updates++
+	added := 0
 	for _, vm := range listed {
-		seen[vm] = true
 		p, known := c.peers[vm]
 		if !known {
-			c.peers[vm] = &peer{}
-			c.grownAt = at
+			p = &peer{}
+			c.peers[vm] = p
+			added++
 			changed = true
-		} else {
-			p.removedAt = 0
 		}
+		p.update, p.removedAt = c.updates, 0
 	}
 	for vm, p := range c.peers {
-		if seen[vm] {
+		if p.update == c.updates {
 			continue
 		}
 		if p.removedAt == 0 {
@@ -139,6 +145,9 @@
 			changed = true
 		}
 	}
+	if added*growthParts > len(listed) {
+		c.grownAt = at
+	}
 	if changed {
 		clear(c.order)
 	}
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -359,6 +359,11 @@
 	for _, o := range m.organisations {
 		m.arrive(o)
 	}
+	if len(m.failures) > 0 && m.random.IntN(2) == 0 {
+		// A fleet that starts while an organisation sends too much.
+		m.failures = append(m.failures, "flood-at-boot")
+		m.organisations[0].load *= 7.5
+	}
 	m.drawFailures()
 	return m
 }
