--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -249,6 +249,7 @@
 	if a.expired() {
 		return errorReply(CodeTimeout, "no answer from the upstream: "+err.Error()), true
 	}
+	a.session.chargeRetry(a.session.organisation())
 	a.unanswered = true
 	return Reply{}, false
 }
--- a/internal/managed/identity.go
+++ b/internal/managed/identity.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
 
@@ -108,16 +107,30 @@
 // first statement of a transaction that goes to an upstream. It is called once for each
 // operation, at the proxy to which the caller is connected. If it reports false, the
 // operation ends with the reply.
-func (s *session) admit(_ *Statement, _ *Route, _ entity.Time) (Reply, bool) {
+func (s *session) admit(route *Route) (Reply, bool) {
 	if !s.identify() {
 		return s.refuseUnknown(), false
 	}
-	return Reply{}, true
+	return s.admitOperation(*route, s.organisation())
+}
+
+// organisation returns the caller's organisation in the configuration by which the caller
+// was identified, nil if it has none.
+func (s *session) organisation() *organisation.Organisation {
+	if s.identity.document == nil {
+		// Another proxy identified the caller.
+		return nil
+	}
+	directory := s.identity.document.Organisations
+	if directory == nil || s.identity.organisation == "" {
+		return nil
+	}
+	return directory.Lookup(s.identity.organisation)
 }
 
 // checkCaller decides whether a statement may be executed. If it reports false, the
 // statement ends with the reply; an open transaction has been rolled back then.
-func (s *session) checkCaller(statement *Statement, arrived entity.Time) (Reply, bool) {
+func (s *session) checkCaller(statement *Statement) (Reply, bool) {
 	if s.fromPeer {
 		return Reply{}, true
 	}
@@ -140,7 +153,7 @@
 	default:
 		route = s.route
 	}
-	reply, ok := s.admit(statement, &route, arrived)
+	reply, ok := s.admit(&route)
 	if !ok {
 		return s.failTransaction(statement, reply), false
 	}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -16,6 +16,7 @@
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
+	"skylarkhinge.dev/skylarkhinge/internal/managed/quota"
 	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
 
@@ -69,6 +70,8 @@
 	sessions         map[*session]struct{}
 	// ctx is the context of Serve.
 	ctx context.Context
+	// quotas is nil if the settings have no quota window.
+	quotas *quota.Service
 }
 
 // EnableMetrics creates the proxy's metrics. It must be called before Serve.
@@ -101,6 +104,7 @@
 	}
 	p.applySettings(options.Settings)
 	p.currentDocument.Store(&Document{})
+	p.quotas = newQuotas(p)
 	return p
 }
 
@@ -198,6 +202,10 @@
 	if p.settings().StrictRevocation {
 		go p.logConfigurationAge(ctx)
 	}
+	if p.quotas != nil {
+		p.quotas.Start()
+		defer p.quotas.Stop()
+	}
 	accepted := make(chan error, 2)
 	go func() { accepted <- p.accept(listener, false) }()
 	if peers != nil {
--- a/internal/managed/remote.go
+++ b/internal/managed/remote.go
@@ -60,6 +60,9 @@
 		if !repeat || !s.changeGateway() {
 			return r.lostReply(statement, err), StateIdle, r.inTransaction()
 		}
+		if s.needsCaller(statement) {
+			s.chargeRetry(s.organisation())
+		}
 	}
 	reply, state = s.execute(statement, arrived)
 	return reply, state, false
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -195,7 +195,7 @@
 	if known {
 		s.moveToGateway(arrived)
 	}
-	if reply, ok := s.checkCaller(statement, arrived); !ok {
+	if reply, ok := s.checkCaller(statement); !ok {
 		return reply, s.transactionState(), false
 	}
 	s.leaveStaleGateway()
