--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -20,6 +20,8 @@
 	// bucketRetention is the time after which an unused bucket is dropped. An organisation
 	// that returns later starts with an empty bucket.
 	bucketRetention = 10 * time.Minute
+	// maxBuckets bounds the memory of a limiter to about 20 MB.
+	maxBuckets = 1 << 17
 	// sweepInterval is the interval at which unused buckets are dropped.
 	sweepInterval = 30 * time.Second
 	// maxRetryAfter bounds the time for which a holder is told to wait because others wait.
@@ -99,7 +101,7 @@
 func (l *Limiter) assume(at entity.Time, name organisation.Name, r role) {
 	b, ok := l.buckets[name]
 	if !ok {
-		l.buckets[name] = &bucket{refilled: at, lastUse: at, role: r}
+		l.add(name, &bucket{refilled: at, lastUse: at, role: r})
 		return
 	}
 	if b.role != r || r == roleStandIn && at.Sub(b.lastUse) > maxStandInPause {
@@ -107,6 +109,17 @@
 	}
 }
 
+// add adds a bucket. If there are too many, it drops another one, which will start empty.
+func (l *Limiter) add(name organisation.Name, b *bucket) {
+	if len(l.buckets) >= maxBuckets {
+		for other := range l.buckets {
+			delete(l.buckets, other)
+			break
+		}
+	}
+	l.buckets[name] = b
+}
+
 // lastStandIn returns the last use of the bucket of an organisation as a stand-in.
 func (l *Limiter) lastStandIn(name organisation.Name) (entity.Time, bool) {
 	b, ok := l.buckets[name]
@@ -123,7 +136,7 @@
 	b, ok := l.buckets[name]
 	if !ok {
 		b = &bucket{refilled: at, limits: limits}
-		l.buckets[name] = b
+		l.add(name, b)
 	}
 	b.lastUse = at
 	refill := l.parameters.Refill(limits)
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -337,7 +337,6 @@
 
 // Receive handles a request of another proxy. A Reply follows.
 func (n *Node) Receive(at entity.Time, id ReplyID, request *Request) {
-	n.limiter.Tick(at)
 	p := &pending{reply: id}
 	if request.Relay != "" && request.Relay != n.self {
 		passed := *request
@@ -348,8 +347,10 @@
 	n.serve(at, p, request)
 }
 
-// serve grants tokens or asks the limiter for them.
+// serve grants tokens or asks the limiter for them. After a pause of this proxy it may be the
+// first thing that runs, so it checks for one.
 func (n *Node) serve(at entity.Time, p *pending, request *Request) {
+	n.limiter.Tick(at)
 	n.recordNew(at, request.From, request.New)
 	age := at.Sub(n.startedAt)
 	if n.startedAt == 0 {
--- a/internal/managed/quota/handler.go
+++ b/internal/managed/quota/handler.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"net/http"
 
-	core "skylarkhinge.dev/skylarkhinge/core/quota"
-
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
@@ -58,7 +56,9 @@
 	Limiter  entity.VM         `json:"limiter"`
 	Recent   float64           `json:"recent_per_second"`
 	Limited  bool              `json:"limited"`
-	Counters core.Counters     `json:"counters"`
+	Admitted uint64            `json:"admitted"`
+	Waited   uint64            `json:"waited"`
+	Refused  uint64            `json:"refused"`
 }
 
 func (s *Service) serveList(w http.ResponseWriter) {
@@ -67,7 +67,8 @@
 	s.mu.Unlock()
 	list := make([]row, len(rows))
 	for i, r := range rows {
-		list[i] = row{r.Name, r.Limits.Rate, r.Limits.Burst, r.Tokens, r.Waiting, r.Limiter, r.Demand, r.Limited, r.Counters}
+		list[i] = row{r.Name, r.Limits.Rate, r.Limits.Burst, r.Tokens, r.Waiting, r.Limiter, r.Demand, r.Limited,
+			r.Counters.Admitted, r.Counters.Waited, r.Counters.Refused}
 	}
 	writeJSON(w, list)
 }
--- a/internal/managed/quota/service.go
+++ b/internal/managed/quota/service.go
@@ -118,6 +118,10 @@
 	}
 	at := s.options.Now()
 	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		return false, 0
+	}
 	decision, ticket, retryAfter := s.node.Admit(at, o.Name, limitsOf(o), maxWait)
 	var waiter chan core.Outcome
 	if decision == core.Waiting {
