--- a/core/quota/candidates.go
+++ b/core/quota/candidates.go
@@ -45,7 +45,7 @@
 	// reached it. It bounds the time for which two limiters grant tokens.
 	deadTime = 150 * time.Millisecond
 	// neededTime is how long a failed proxy is probed after it was last needed.
-	neededTime = 5 * time.Second
+	neededTime = 10 * time.Second
 )
 
 // peer is what a proxy knows of another one.
@@ -58,7 +58,9 @@
 	answeredAt, failedAt entity.Time
 	relay                entity.VM
 	relayUntil           entity.Time
-	deadUntil            entity.Time
+	// deadFrom and deadUntil bound the time in which neither this proxy nor its relays reached
+	// the peer.
+	deadFrom, deadUntil entity.Time
 	// neededAt is when the peer was last a candidate before this proxy.
 	neededAt entity.Time
 	// probes is the number of probes in flight, reached whether one of them was answered.
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -14,9 +14,6 @@
 	maxPause = 500 * time.Millisecond
 	// maxRefillPause is the interval between ticks beyond which the pause is not refilled.
 	maxRefillPause = 150 * time.Millisecond
-	// maxStandInPause is the time without a request after which a stand-in starts again with
-	// an empty bucket.
-	maxStandInPause = time.Second
 	// bucketRetention is the time after which an unused bucket is dropped. An organisation
 	// that returns later starts with an empty bucket.
 	bucketRetention = 10 * time.Minute
@@ -97,14 +94,15 @@
 func (l *Limiter) Forget(name organisation.Name) { delete(l.buckets, name) }
 
 // assume empties the bucket of an organisation if the role of this proxy has changed, or if
-// it stood in before and has not been asked since: another one has granted tokens meanwhile.
-func (l *Limiter) assume(at entity.Time, name organisation.Name, r role) {
+// it was last used before the candidates ahead of this proxy failed: another one may have
+// granted tokens meanwhile.
+func (l *Limiter) assume(at entity.Time, name organisation.Name, r role, since entity.Time) {
 	b, ok := l.buckets[name]
 	if !ok {
 		l.add(name, &bucket{refilled: at, lastUse: at, role: r})
 		return
 	}
-	if b.role != r || r == roleStandIn && at.Sub(b.lastUse) > maxStandInPause {
+	if b.role != r || b.lastUse < since {
 		b.tokens, b.refilled, b.role = 0, at, r
 	}
 }
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -540,6 +540,8 @@
 				t.Errorf("%s: %s %+v over the bound by %.0f from %.2f s, lowered to %+v at %.2f s", label, o.name, o.limits, excess,
 					time.Duration(at).Seconds(), o.lowered, time.Duration(m.loweredAt).Seconds())
 			}
+			drawServed += o.served
+			drawOwed += o.owed
 			if o.owed < 20 {
 				continue
 			}
@@ -547,13 +549,11 @@
 			worst[calm] = min(worst[calm], share)
 			s := sum[calm]
 			sum[calm] = [2]int{s[0] + o.served, s[1] + o.owed}
-			drawServed += o.served
-			drawOwed += o.owed
 			if share < target {
 				t.Logf("%s: %s %+v load %.1f at [%d,%d) served %d of %d owed, %.3f", label, o.name, o.limits, o.load, o.from, o.to, o.served, o.owed, share)
 			}
 		}
-		if share := float64(drawServed) / float64(max(1, drawOwed)); share < target {
+		if share := float64(drawServed) / float64(max(1, drawOwed)); drawOwed > 0 && share < target {
 			low++
 			t.Errorf("%s: served %d of %d owed, %.3f", label, drawServed, drawOwed, share)
 		}
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -445,12 +445,12 @@
 // serveWant grants tokens to one organisation, or adds it to a forwarded request.
 func (n *Node) serveWant(at entity.Time, p *pending, request *Request, i int, forwards []*call) []*call {
 	w, g := &request.Wants[i], &p.answer.Grants[i]
-	to, relay, r := n.decide(at, w.Name)
+	to, relay, r, since := n.decide(at, w.Name)
 	switch {
 	case to == n.self && at < n.readyAt():
 		g.RetryAfter = n.readyAt().Sub(at)
 	case to == n.self:
-		*g = n.grant(at, w, r)
+		*g = n.grant(at, w, r, since)
 	case to == "" || request.Forwarded || w.Tokens == 0:
 		g.RetryAfter = retryUnknown
 	default:
@@ -471,8 +471,9 @@
 
 // decide returns the limiter of an organisation as this proxy sees it, and the relay
 // through which to reach it. It returns no limiter while a candidate that did not answer is
-// being probed.
-func (n *Node) decide(at entity.Time, name organisation.Name) (to, relay entity.VM, r role) {
+// being probed. since is the time from which the candidates before it have failed without a
+// break.
+func (n *Node) decide(at entity.Time, name organisation.Name) (to, relay entity.VM, r role, since entity.Time) {
 	ordered, settled := n.candidates.active(at, name, n.buffer)
 	n.buffer = ordered
 	for i, vm := range ordered {
@@ -480,27 +481,27 @@
 			r = roleNew
 		}
 		if vm == n.self {
-			return vm, "", r
+			return vm, "", r, since
 		}
 		p := n.candidates.peers[vm]
 		p.neededAt = at
 		switch {
 		case p.deadUntil > at:
 			n.probe(at, vm, p)
-			r = roleStandIn
+			r, since = roleStandIn, max(since, p.deadFrom)
 		case !p.suspected(at):
-			return vm, "", r
+			return vm, "", r, since
 		case p.relayUntil > at:
-			return vm, p.relay, r
+			return vm, p.relay, r, since
 		default:
 			n.probe(at, vm, p)
-			return "", "", r
+			return "", "", r, since
 		}
 	}
-	return "", "", r
+	return "", "", r, since
 }
 
-func (n *Node) grant(at entity.Time, w *Want, r role) Grant {
+func (n *Node) grant(at entity.Time, w *Want, r role, since entity.Time) Grant {
 	limits := w.Limits
 	if own, ok := n.limitsOf(w.Name); ok {
 		limits = own
@@ -511,7 +512,7 @@
 			elsewhere = min(elsewhere, past.Ago)
 		}
 	}
-	n.limiter.assume(at, w.Name, r)
+	n.limiter.assume(at, w.Name, r, since)
 	tokens, retryAfter := n.limiter.Grant(at, w.Name, limits, w.Tokens, elsewhere)
 	return Grant{Tokens: tokens, RetryAfter: retryAfter, By: n.self}
 }
@@ -646,6 +647,9 @@
 	if p.probes > 0 || p.reached {
 		return
 	}
+	if p.deadUntil.Add(probeTimeout) < at {
+		p.deadFrom = at
+	}
 	p.deadUntil = at.Add(deadTime)
 	if at.Sub(p.neededAt) < neededTime {
 		// Otherwise the next request would wait for a probe.
