--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -57,6 +57,8 @@
 	buckets    map[organisation.Name]*bucket
 	lastTick   entity.Time
 	lastSweep  entity.Time
+	// resumedAt is the end of the last pause.
+	resumedAt entity.Time
 	// granted is the number of tokens granted to all organisations.
 	granted uint64
 }
@@ -71,6 +73,7 @@
 func (l *Limiter) Tick(at entity.Time) {
 	pause := at.Sub(l.lastTick)
 	if l.lastTick != 0 && pause > maxRefillPause {
+		l.resumedAt = at
 		for _, b := range l.buckets {
 			b.refilled = at
 			if pause > maxPause {
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -36,6 +36,8 @@
 	// minReportedNew is the time below which another proxy's word that a third one is new
 	// does not count.
 	minReportedNew = 500 * time.Millisecond
+	// lateMessages is the time after a pause in which messages that waited for its end arrive.
+	lateMessages = 300 * time.Millisecond
 	// relays is the number of other proxies that probe a candidate.
 	relays = 2
 	// TickInterval is the interval at which Wake must be called at least. It is shorter than
@@ -422,8 +424,12 @@
 
 // recordNew records new proxies that another one named. What it says of others only shortens
 // the time and counts only while it is long: otherwise the delays of messages add up, and
-// proxies that tell each other would count a third one as new forever.
+// proxies that tell each other would count a third one as new forever. Messages that waited
+// while this proxy was paused do not count, since their times are of no use.
 func (n *Node) recordNew(at entity.Time, from entity.VM, proxies []NewProxy) {
+	if resumed := n.limiter.resumedAt; resumed != 0 && at.Sub(resumed) < lateMessages {
+		return
+	}
 	for _, q := range proxies {
 		p := n.candidates.peers[q.VM]
 		if p == nil || q.VM == n.self {
@@ -584,6 +590,7 @@
 		return
 	}
 	delete(n.calls, id)
+	n.limiter.Tick(at)
 	p := n.candidates.peers[c.to]
 	if p == nil {
 		p = &peer{}
