--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -14,12 +14,11 @@
 	maxPause = 500 * time.Millisecond
 	// maxRefillPause is the interval between ticks beyond which the pause is not refilled.
 	maxRefillPause = 150 * time.Millisecond
-	// maxStandInPause is the time without a request after which a stand-in starts again with
-	// an empty bucket.
-	maxStandInPause = time.Second
 	// bucketRetention is the time after which an unused bucket is dropped. An organisation
 	// that returns later starts with an empty bucket.
 	bucketRetention = 10 * time.Minute
+	// maxBuckets bounds the memory of a limiter to about 20 MB.
+	maxBuckets = 1 << 17
 	// sweepInterval is the interval at which unused buckets are dropped.
 	sweepInterval = 30 * time.Second
 	// maxRetryAfter bounds the time for which a holder is told to wait because others wait.
@@ -58,6 +57,8 @@
 	buckets    map[organisation.Name]*bucket
 	lastTick   entity.Time
 	lastSweep  entity.Time
+	// resumedAt is the end of the last pause.
+	resumedAt entity.Time
 	// granted is the number of tokens granted to all organisations.
 	granted uint64
 }
@@ -72,6 +73,7 @@
 func (l *Limiter) Tick(at entity.Time) {
 	pause := at.Sub(l.lastTick)
 	if l.lastTick != 0 && pause > maxRefillPause {
+		l.resumedAt = at
 		for _, b := range l.buckets {
 			b.refilled = at
 			if pause > maxPause {
@@ -95,18 +97,30 @@
 func (l *Limiter) Forget(name organisation.Name) { delete(l.buckets, name) }
 
 // assume empties the bucket of an organisation if the role of this proxy has changed, or if
-// it stood in before and has not been asked since: another one has granted tokens meanwhile.
-func (l *Limiter) assume(at entity.Time, name organisation.Name, r role) {
+// it was last used before the candidates ahead of this proxy failed: another one may have
+// granted tokens meanwhile.
+func (l *Limiter) assume(at entity.Time, name organisation.Name, r role, since entity.Time) {
 	b, ok := l.buckets[name]
 	if !ok {
-		l.buckets[name] = &bucket{refilled: at, lastUse: at, role: r}
+		l.add(name, &bucket{refilled: at, lastUse: at, role: r})
 		return
 	}
-	if b.role != r || r == roleStandIn && at.Sub(b.lastUse) > maxStandInPause {
+	if b.role != r || b.lastUse < since {
 		b.tokens, b.refilled, b.role = 0, at, r
 	}
 }
 
+// add adds a bucket. If there are too many, it drops another one, which will start empty.
+func (l *Limiter) add(name organisation.Name, b *bucket) {
+	if len(l.buckets) >= maxBuckets {
+		for other := range l.buckets {
+			delete(l.buckets, other)
+			break
+		}
+	}
+	l.buckets[name] = b
+}
+
 // lastStandIn returns the last use of the bucket of an organisation as a stand-in.
 func (l *Limiter) lastStandIn(name organisation.Name) (entity.Time, bool) {
 	b, ok := l.buckets[name]
@@ -123,7 +137,7 @@
 	b, ok := l.buckets[name]
 	if !ok {
 		b = &bucket{refilled: at, limits: limits}
-		l.buckets[name] = b
+		l.add(name, b)
 	}
 	b.lastUse = at
 	refill := l.parameters.Refill(limits)
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -36,6 +36,8 @@
 	// minReportedNew is the time below which another proxy's word that a third one is new
 	// does not count.
 	minReportedNew = 500 * time.Millisecond
+	// lateMessages is the time after a pause in which messages that waited for its end arrive.
+	lateMessages = 300 * time.Millisecond
 	// relays is the number of other proxies that probe a candidate.
 	relays = 2
 	// TickInterval is the interval at which Wake must be called at least. It is shorter than
@@ -337,7 +339,6 @@
 
 // Receive handles a request of another proxy. A Reply follows.
 func (n *Node) Receive(at entity.Time, id ReplyID, request *Request) {
-	n.limiter.Tick(at)
 	p := &pending{reply: id}
 	if request.Relay != "" && request.Relay != n.self {
 		passed := *request
@@ -348,8 +349,10 @@
 	n.serve(at, p, request)
 }
 
-// serve grants tokens or asks the limiter for them.
+// serve grants tokens or asks the limiter for them. After a pause of this proxy it may be the
+// first thing that runs, so it checks for one.
 func (n *Node) serve(at entity.Time, p *pending, request *Request) {
+	n.limiter.Tick(at)
 	n.recordNew(at, request.From, request.New)
 	age := at.Sub(n.startedAt)
 	if n.startedAt == 0 {
@@ -421,8 +424,12 @@
 
 // recordNew records new proxies that another one named. What it says of others only shortens
 // the time and counts only while it is long: otherwise the delays of messages add up, and
-// proxies that tell each other would count a third one as new forever.
+// proxies that tell each other would count a third one as new forever. Messages that waited
+// while this proxy was paused do not count, since their times are of no use.
 func (n *Node) recordNew(at entity.Time, from entity.VM, proxies []NewProxy) {
+	if resumed := n.limiter.resumedAt; resumed != 0 && at.Sub(resumed) < lateMessages {
+		return
+	}
 	for _, q := range proxies {
 		p := n.candidates.peers[q.VM]
 		if p == nil || q.VM == n.self {
@@ -444,12 +451,12 @@
 // serveWant grants tokens to one organisation, or adds it to a forwarded request.
 func (n *Node) serveWant(at entity.Time, p *pending, request *Request, i int, forwards []*call) []*call {
 	w, g := &request.Wants[i], &p.answer.Grants[i]
-	to, relay, r := n.decide(at, w.Name)
+	to, relay, r, since := n.decide(at, w.Name)
 	switch {
 	case to == n.self && at < n.readyAt():
 		g.RetryAfter = n.readyAt().Sub(at)
 	case to == n.self:
-		*g = n.grant(at, w, r)
+		*g = n.grant(at, w, r, since)
 	case to == "" || request.Forwarded || w.Tokens == 0:
 		g.RetryAfter = retryUnknown
 	default:
@@ -470,8 +477,9 @@
 
 // decide returns the limiter of an organisation as this proxy sees it, and the relay
 // through which to reach it. It returns no limiter while a candidate that did not answer is
-// being probed.
-func (n *Node) decide(at entity.Time, name organisation.Name) (to, relay entity.VM, r role) {
+// being probed. since is the time from which the candidates before it have failed without a
+// break.
+func (n *Node) decide(at entity.Time, name organisation.Name) (to, relay entity.VM, r role, since entity.Time) {
 	ordered, settled := n.candidates.active(at, name, n.buffer)
 	n.buffer = ordered
 	for i, vm := range ordered {
@@ -479,27 +487,27 @@
 			r = roleNew
 		}
 		if vm == n.self {
-			return vm, "", r
+			return vm, "", r, since
 		}
 		p := n.candidates.peers[vm]
 		p.neededAt = at
 		switch {
 		case p.deadUntil > at:
 			n.probe(at, vm, p)
-			r = roleStandIn
+			r, since = roleStandIn, max(since, p.deadFrom)
 		case !p.suspected(at):
-			return vm, "", r
+			return vm, "", r, since
 		case p.relayUntil > at:
-			return vm, p.relay, r
+			return vm, p.relay, r, since
 		default:
 			n.probe(at, vm, p)
-			return "", "", r
+			return "", "", r, since
 		}
 	}
-	return "", "", r
+	return "", "", r, since
 }
 
-func (n *Node) grant(at entity.Time, w *Want, r role) Grant {
+func (n *Node) grant(at entity.Time, w *Want, r role, since entity.Time) Grant {
 	limits := w.Limits
 	if own, ok := n.limitsOf(w.Name); ok {
 		limits = own
@@ -510,7 +518,7 @@
 			elsewhere = min(elsewhere, past.Ago)
 		}
 	}
-	n.limiter.assume(at, w.Name, r)
+	n.limiter.assume(at, w.Name, r, since)
 	tokens, retryAfter := n.limiter.Grant(at, w.Name, limits, w.Tokens, elsewhere)
 	return Grant{Tokens: tokens, RetryAfter: retryAfter, By: n.self}
 }
@@ -582,6 +590,7 @@
 		return
 	}
 	delete(n.calls, id)
+	n.limiter.Tick(at)
 	p := n.candidates.peers[c.to]
 	if p == nil {
 		p = &peer{}
@@ -645,6 +654,9 @@
 	if p.probes > 0 || p.reached {
 		return
 	}
+	if p.deadUntil.Add(probeTimeout) < at {
+		p.deadFrom = at
+	}
 	p.deadUntil = at.Add(deadTime)
 	if at.Sub(p.neededAt) < neededTime {
 		// Otherwise the next request would wait for a probe.
