--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -147,10 +147,15 @@
 }
 
 // want returns the number of tokens to ask for, 0 if those at hand suffice: the operations
-// that wait, and what half a lease time needs at the recent rate.
+// that wait, and what half a lease time needs at the recent rate. While operations are
+// refused it is a whole lease time: the next request is put off then, and half of the
+// quota of an organisation with many holders would remain unused.
 func (a *account) want(at entity.Time, leaseTime time.Duration) int {
 	a.decay(at, leaseTime)
 	ahead := int(a.demand * leaseTime.Seconds() / 2)
+	if len(a.queue) > 1 && a.limited {
+		ahead = int(a.demand * leaseTime.Seconds())
+	}
 	held := a.tokens(at)
 	if len(a.queue) == 0 && a.debt == 0 && held > ahead/2 {
 		return 0
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -22,7 +22,7 @@
 	// sweepInterval is the interval at which unused buckets are dropped.
 	sweepInterval = 30 * time.Second
 	// maxRetryAfter bounds the time for which a holder is told to wait because others wait.
-	maxRetryAfter = 500 * time.Millisecond
+	maxRetryAfter = 200 * time.Millisecond
 	// NoOtherLimiter is the value of elsewhere if no other limiter granted tokens lately.
 	NoOtherLimiter = time.Duration(math.MaxInt64)
 )
@@ -57,6 +57,8 @@
 	buckets    map[organisation.Name]*bucket
 	lastTick   entity.Time
 	lastSweep  entity.Time
+	// pausedAt is the end of the last pause that is not refilled.
+	pausedAt entity.Time
 	// resumedAt is the end of the last pause.
 	resumedAt entity.Time
 	// granted is the number of tokens granted to all organisations.
@@ -73,6 +75,7 @@
 func (l *Limiter) Tick(at entity.Time) {
 	pause := at.Sub(l.lastTick)
 	if l.lastTick != 0 && pause > maxRefillPause {
+		l.pausedAt = at
 		l.resumedAt = at
 		for _, b := range l.buckets {
 			b.refilled = at
@@ -98,11 +101,12 @@
 
 // assume empties the bucket of an organisation if the role of this proxy has changed, or if
 // it was last used before the candidates ahead of this proxy failed: another one may have
-// granted tokens meanwhile.
-func (l *Limiter) assume(at entity.Time, name organisation.Name, r role, since entity.Time) {
+// granted tokens meanwhile. A new bucket was empty at emptyAt.
+func (l *Limiter) assume(at entity.Time, name organisation.Name, limits Limits, r role, since, emptyAt entity.Time) {
 	b, ok := l.buckets[name]
 	if !ok {
-		l.add(name, &bucket{refilled: at, lastUse: at, role: r})
+		emptyAt = max(emptyAt, l.pausedAt, since)
+		l.add(name, &bucket{refilled: min(at, emptyAt), lastUse: at, limits: limits, role: r})
 		return
 	}
 	if b.role != r || b.lastUse < since {
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -91,8 +91,10 @@
 	limiter    *Limiter
 	candidates *candidates
 	startedAt  entity.Time
-	calls      map[CallID]*call
-	lastCall   CallID
+	// listChangedAt is the time of the last change of the candidates.
+	listChangedAt entity.Time
+	calls         map[CallID]*call
+	lastCall      CallID
 	// needing are the accounts with waiting operations or too few tokens.
 	needing    []*account
 	nextChange entity.Time
@@ -132,6 +134,7 @@
 	if !n.candidates.update(at, listed) {
 		return
 	}
+	n.listChangedAt = at
 	if own, ok := n.candidates.peers[n.self]; ok {
 		own.newUntil = n.startedAt.Add(newTime)
 	}
@@ -507,6 +510,19 @@
 	return "", "", r, since
 }
 
+// roleSince returns a time from which this proxy has had its role for every organisation
+// that it limits in this role now: no other proxy granted tokens since then, but for those
+// that holders report.
+func (n *Node) roleSince(r role) entity.Time {
+	switch r {
+	case roleFirst:
+		return max(n.listChangedAt, n.newUntil())
+	case roleNew:
+		return max(n.listChangedAt, n.readyAt())
+	}
+	return entity.Never
+}
+
 func (n *Node) grant(at entity.Time, w *Want, r role, since entity.Time) Grant {
 	limits := w.Limits
 	if own, ok := n.limitsOf(w.Name); ok {
@@ -518,7 +534,7 @@
 			elsewhere = min(elsewhere, past.Ago)
 		}
 	}
-	n.limiter.assume(at, w.Name, r, since)
+	n.limiter.assume(at, w.Name, limits, r, since, n.roleSince(r))
 	tokens, retryAfter := n.limiter.Grant(at, w.Name, limits, w.Tokens, elsewhere)
 	return Grant{Tokens: tokens, RetryAfter: retryAfter, By: n.self}
 }
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -203,6 +203,11 @@
 		go p.logConfigurationAge(ctx)
 	}
 	if p.quotas != nil {
+		if address := p.settings().MetricsAddress; address != "" {
+			if err := p.quotas.ListenDatagrams(address); err != nil {
+				p.events.rateLimited("listen_failed", "listen_datagrams", address, nil, err)
+			}
+		}
 		p.quotas.Start()
 		defer p.quotas.Stop()
 	}
--- a/internal/managed/quota/service.go
+++ b/internal/managed/quota/service.go
@@ -49,6 +49,8 @@
 	// addresses are those of listed and recently listed proxies, with the time of the last
 	// listing.
 	addresses map[entity.VM]knownAddress
+	// datagrams is nil if requests use HTTP only.
+	datagrams *datagrams
 	waiters   map[core.Ticket]chan core.Outcome
 	replies   map[core.ReplyID]chan core.Reply
 	lastReply core.ReplyID
@@ -91,9 +93,35 @@
 	s.mu.Unlock()
 }
 
+// ListenDatagrams makes the service use UDP at an address for short messages. It must be
+// called before Start, and all proxies listen at the addresses of their HTTP servers.
+func (s *Service) ListenDatagrams(address string) error {
+	d, err := listenDatagrams(address, s.Receive)
+	if err != nil {
+		return err
+	}
+	s.datagrams = d
+	return nil
+}
+
+// ask sends a request over UDP, and over HTTP if it is too long or seems to be lost.
+func (s *Service) ask(ctx context.Context, address string, request *core.Request) (core.Answer, error) {
+	if s.datagrams != nil {
+		answer, err := s.datagrams.ask(ctx, address, request)
+		if !errors.Is(err, errTooLong) && !errors.Is(err, errDatagramLost) {
+			return answer, err
+		}
+	}
+	return s.options.Transport.Ask(ctx, address, request)
+}
+
 // Stop cancels requests in flight and refuses waiting operations.
 func (s *Service) Stop() {
 	s.cancel()
+	if s.datagrams != nil {
+		// The socket is not used again, so the error is ignored.
+		_ = s.datagrams.close()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
@@ -234,7 +262,7 @@
 	err := errNoAddress
 	if address != "" {
 		ctx, cancel := context.WithTimeout(s.ctx, send.Timeout)
-		answer, err = s.options.Transport.Ask(ctx, address, &send.Request)
+		answer, err = s.ask(ctx, address, &send.Request)
 		cancel()
 	}
 	at := s.options.Now()
--- a/internal/managed/quota/wire.go
+++ b/internal/managed/quota/wire.go
@@ -49,7 +49,10 @@
 	By           entity.VM `json:"by,omitempty"`
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+// milliseconds rounds down to a tenth, which keeps messages short.
+func milliseconds(d time.Duration) float64 {
+	return float64(d/(100*time.Microsecond)) / 10
+}
 
 // maxMS bounds the durations that are accepted from other proxies.
 const maxMS = float64(24 * time.Hour / time.Millisecond)
