Write an acknowledgement to the caller with one write, right after its age is checked

Cause: writeOutcome checked the age first and then wrote the token and the rest of the response with two writes. A process that was stopped after the check sent the acknowledgement of a replaced primary when it went on. Change: the response is assembled first; the check is the last step before the only write.

--- a/internal/proxy/callers.go
+++ b/internal/proxy/callers.go
@@ -350,21 +350,35 @@
 	return c.sendError(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: err.Error()})
 }
 
-// sendError sends an error that the proxy itself raised. It rolls back an open
-// transaction at once, so that the caller can't commit a part of it.
+// sendError sends an error that the proxy itself raised, and ReadyForQuery.
 func (c *callerConn) sendError(e *pgproto3.ErrorResponse) error {
+	wire, err := c.encodeError(nil, e)
+	if err != nil {
+		return err
+	}
+	return c.write(wire)
+}
+
+// encodeError appends an error that the proxy itself raised, and ReadyForQuery. It rolls
+// back an open transaction at once, so that the caller can't commit a part of it.
+func (c *callerConn) encodeError(wire []byte, e *pgproto3.ErrorResponse) ([]byte, error) {
 	if c.inTransaction() {
 		c.endTransaction()
 		c.setStatus('E', true)
 	}
-	c.backend.Send(e)
-	return c.sendReadyForQuery()
+	wire, err := e.Encode(wire)
+	if err != nil {
+		return nil, err
+	}
+	return (&pgproto3.ReadyForQuery{TxStatus: c.status}).Encode(wire)
 }
 
 func (c *callerConn) sendReadyForQuery() error {
-	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.status})
-	c.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	return c.backend.Flush()
+	wire, err := (&pgproto3.ReadyForQuery{TxStatus: c.status}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	return c.write(wire)
 }
 
 func (c *callerConn) write(data []byte) error {
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -36,12 +36,24 @@
 const maxAcknowledgementAge = 100 * time.Millisecond
 
 // expireAcknowledgement turns the acknowledgement of a write into an unknown
-// result if it is older than maxAcknowledgementAge.
-func (o *outcome) expireAcknowledgement(now entity.Time) {
-	if o.result.AcknowledgesWrite() && now.Sub(o.decidedAt) > maxAcknowledgementAge {
-		o.result = core.Result{Handle: o.result.Handle, Kind: core.ResultUnknown, Reason: "stale_acknowledgement"}
-		o.tail = nil
+// result if it is older than maxAcknowledgementAge. It reports whether it did so.
+func (o *outcome) expireAcknowledgement(now entity.Time) bool {
+	if !o.result.AcknowledgesWrite() || now.Sub(o.decidedAt) <= maxAcknowledgementAge {
+		return false
 	}
+	o.result = core.Result{Handle: o.result.Handle, Kind: core.ResultUnknown, Reason: "stale_acknowledgement"}
+	o.tail = nil
+	return true
+}
+
+// transactionStatus returns the caller's transaction status after the response: I, T
+// or E.
+func (o *outcome) transactionStatus() byte {
+	if !o.result.InTransaction {
+		return 'I'
+	}
+	// The tail ends with ReadyForQuery, whose last byte is the transaction status.
+	return o.tail[len(o.tail)-1]
 }
 
 // inflightRequest is an open request with the data that the core does not hold.
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -132,33 +132,53 @@
 
 // writeOutcome sends the rest of the response, or the error that the result stands
 // for, to the caller.
+//
+// An acknowledgement is assembled first, and its age is checked right before the only
+// write, so that no part of it leaves after a pause of the process. Only a pause between
+// the check and the system call is not noticed; docs/proofs.md says what bounds it.
 func (c *callerConn) writeOutcome(o outcome) error {
-	o.expireAcknowledgement(c.proxy.now())
+	answer, err := c.encodeOutcome(&o)
+	if err != nil {
+		return err
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if o.expireAcknowledgement(c.proxy.now()) {
+		if answer, err = c.encodeOutcome(&o); err != nil {
+			return err
+		}
+	}
+	if _, err := c.conn.Write(answer); err != nil {
+		return err
+	}
+	if o.result.Kind == core.ResultDone {
+		c.setStatus(o.transactionStatus(), false)
+	}
+	return nil
+}
+
+// encodeOutcome returns the messages that answer the caller. If the result is an error,
+// it also rolls back an open transaction; see encodeError.
+func (c *callerConn) encodeOutcome(o *outcome) ([]byte, error) {
+	var answer []byte
 	res := &o.result
 	if !res.Position.IsZero() {
-		c.backend.Send(&pgproto3.ParameterStatus{Name: pgwire.ParameterPrefix + "token", Value: pgwire.FormatToken(res.Position)})
+		token := &pgproto3.ParameterStatus{Name: pgwire.ParameterPrefix + "token", Value: pgwire.FormatToken(res.Position)}
+		var err error
+		if answer, err = token.Encode(answer); err != nil {
+			return nil, err
+		}
 	}
 	if res.Kind != core.ResultDone {
 		e := errorResponse(res)
 		if res.Kind == core.ResultNotRun && res.Reason == reasonCancelled {
 			e.Code, e.Message = "57014", "canceling statement due to user request; the request did not run"
 		}
-		return c.sendError(e)
+		return c.encodeError(answer, e)
 	}
 	if len(o.tail) == 0 {
-		return errNoTail
-	}
-	status := byte('I')
-	if res.InTransaction {
-		// The tail ends with ReadyForQuery, whose last byte is the transaction status.
-		status = o.tail[len(o.tail)-1]
-	}
-	c.setStatus(status, false)
-	c.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if err := c.backend.Flush(); err != nil {
-		return err
+		return nil, errNoTail
 	}
-	return c.write(o.tail)
+	return append(answer, o.tail...), nil
 }
 
 // reasonCancelled is the core's reason for a request that was cancelled before it ran.
