Forwarding proxy: distrust acknowledgements of requests that were open across a pause

Cause: a late tick was the only sign of a pause. An acknowledgement that waited in a socket buffer can reach the core some ticks after that one, and was passed on although the primary may have been replaced meanwhile. Found by reading. Change: a request that was forwarded before the last pause ended is not acknowledged. Result: TestForwarderPausedWithAcknowledgement with the acknowledgement one and three ticks after the pause; it failed before.

--- a/core/node.go
+++ b/core/node.go
@@ -131,8 +131,8 @@
 	refusals           []flood.Refusal
 	listRevision       uint64
 	nextOwnershipCheck entity.Time
-	// resumedFromPause is set in the first tick after a pause.
-	resumedFromPause bool
+	// lastResume is the time of the first tick after the last pause, 0 if there was none.
+	lastResume entity.Time
 	// forwarded counts the requests that wait for each peer.
 	forwarded map[entity.VM]int
 	// lastPeerResult is when each peer last sent a result that proves it alive.
@@ -180,9 +180,11 @@
 // that had input or whose timer is due. The outputs are valid until the next tick.
 // now must not decrease.
 func (n *Node) Tick(now entity.Time, in *Inputs) *Outputs {
-	// A tick that runs long after it was due means that this node was paused.
-	n.resumedFromPause = n.out.NextTick > 0 && now.Sub(n.out.NextTick) > pauseTolerance
 	n.now = max(now, n.now)
+	if n.out.NextTick > 0 && now.Sub(n.out.NextTick) > pauseTolerance {
+		// A tick that runs long after it was due means that this node was paused.
+		n.lastResume = n.now
+	}
 	n.out.reset()
 	n.stepDocumentsAndDrain(in)
 	n.stepMembership(in)
--- a/core/node_test.go
+++ b/core/node_test.go
@@ -183,10 +183,26 @@
 	}
 }
 
-// Guards against a forwarding node that was paused when it received the owner's
-// acknowledgement and passes it on after the primary was replaced.
+// Guards against a forwarding node that was paused with an acknowledgement of the owner
+// in a socket buffer and passes it on after the primary was replaced. The core may get
+// the acknowledgement in the first tick after the pause or in a later one. A request
+// that was forwarded after the pause is acknowledged.
 func TestForwarderPausedWithAcknowledgement(t *testing.T) {
-	for _, pause := range []time.Duration{time.Millisecond, 3 * time.Second} {
+	for _, c := range []struct {
+		pause time.Duration
+		// ticksBefore is the number of ticks between the pause and the acknowledgement.
+		ticksBefore int
+		// forwardedAfter is set if the request arrives after the pause.
+		forwardedAfter bool
+		want           ResultKind
+	}{
+		{time.Millisecond, 0, false, ResultDone},
+		{time.Millisecond, 3, false, ResultDone},
+		{3 * time.Second, 0, false, ResultUnknown},
+		{3 * time.Second, 1, false, ResultUnknown},
+		{3 * time.Second, 3, false, ResultUnknown},
+		{3 * time.Second, 3, true, ResultDone},
+	} {
 		n := New(DefaultConfig("p1", 1, 1))
 		in := Inputs{Documents: testDocuments(1), ListRevision: 1}
 		in.ProxyList = []membership.ListedVM{{VM: "p2", AvailabilityZone: "a"}}
@@ -196,14 +212,26 @@
 			n.Tick(now, &in)
 			in.Reset()
 		}
-		in.Arrivals = []Arrival{{Handle: 1, Caller: 1, Database: testDatabase(0), Class: "order"}}
-		out := n.Tick(now, &in)
-		assert.Equal(t, len(out.Forwards), 1)
-		in.Reset()
+		forward := func() {
+			in.Arrivals = []Arrival{{Handle: 1, Caller: 1, Database: testDatabase(0), Class: "order"}}
+			assert.Equal(t, len(n.Tick(now, &in).Forwards), 1)
+			in.Reset()
+		}
+		if !c.forwardedAfter {
+			forward()
+		}
+		now = now.Add(c.pause)
+		for range c.ticksBefore {
+			n.Tick(now, &in)
+			now = now.Add(time.Millisecond)
+		}
+		if c.forwardedAfter {
+			forward()
+		}
 		in.PeerResults = []PeerResult{{Handle: 1, Peer: "p2", Position: entity.Position{Term: 1, Offset: 1}}}
-		out = n.Tick(now.Add(pause), &in)
+		out := n.Tick(now, &in)
 		assert.Equal(t, len(out.Results), 1)
-		assert.Equal(t, out.Results[0].Kind == ResultUnknown, pause > time.Second)
+		assert.Equal(t, out.Results[0].Kind, c.want, "%+v", c)
 	}
 }
 
--- a/core/route.go
+++ b/core/route.go
@@ -197,8 +197,10 @@
 		Position:      p.Position,
 		InTransaction: p.InTransaction,
 	}
-	if n.resumedFromPause && result.AcknowledgesWrite() {
-		// The primary may have been replaced while the acknowledgement waited here.
+	if r.forwardedAt < n.lastResume && result.AcknowledgesWrite() {
+		// This node was paused while the request was at the owner. The acknowledgement
+		// may have waited in a socket buffer, also if it reaches the core some ticks
+		// after the pause, and the primary may have been replaced meanwhile.
 		result = Result{Kind: ResultUnknown, Reason: "stale_acknowledgement"}
 	}
 	n.finish(r, result)
