--- a/core/node_test.go
+++ b/core/node_test.go
@@ -183,6 +183,62 @@
 	}
 }
 
+// Guards against a lost acknowledged write of a session that is not told of the loss,
+// although it sends its token or its owner still knows the write. A session without a
+// token gets older data from another owner, or under another session key, as
+// docs/proofs.md states for classes that are acknowledged by the primary alone.
+func TestLossIsToldByTokenOrOwner(t *testing.T) {
+	const writer, reconnected = 1, 2
+	for _, c := range []struct {
+		otherOwner bool
+		session    int
+		sendsToken bool
+		want       ResultKind
+	}{
+		{false, writer, false, ResultWriteLost},
+		{false, writer, true, ResultWriteLost},
+		{false, reconnected, true, ResultWriteLost},
+		{true, writer, true, ResultWriteLost},
+		{true, reconnected, true, ResultWriteLost},
+		{false, reconnected, false, ResultDone},
+		{true, writer, false, ResultDone},
+		{true, reconnected, false, ResultDone},
+	} {
+		for _, class := range []string{"strict", "browse", "order"} {
+			h := newHarness(1)
+			h.runRequests(100, 10, 1, 10)
+			h.runIdle(5)
+			keptOffset := h.offset
+			h.addArrival(0, writer)
+			h.in.Arrivals[0].Class = "order"
+			var token entity.Position
+			for range 10 {
+				h.tick(15 * time.Millisecond)
+				for _, res := range h.lastResults {
+					assert.Equal(t, res.Kind, ResultDone)
+					token = res.Position
+				}
+			}
+			assert.Equal(t, token, entity.Position{Term: 1, Offset: keptOffset + 1})
+
+			if c.otherOwner {
+				h = newHarness(1)
+			}
+			h.offset, h.promoted, h.promotedOffset = keptOffset, true, keptOffset
+			h.runIdle(5)
+			h.addArrival(0, c.session)
+			a := &h.in.Arrivals[0]
+			a.Class = class
+			if c.sendsToken {
+				a.Token = token
+			}
+			h.resultKinds = map[ResultKind]int{}
+			h.runIdle(5)
+			assert.Equal(t, h.resultKinds[c.want], 1, "%+v class %s: %v", c, class, h.resultKinds)
+		}
+	}
+}
+
 // Guards against a forwarding node that was paused with an acknowledgement of the owner
 // in a socket buffer and passes it on after the primary was replaced. The core may get
 // the acknowledgement in the first tick after the pause or in a later one. A request
