Model: play cuts between any two messages of a ledger transaction

Why: TestPartitionedPrimary once saw one of the two rows of an acknowledged transaction. Change: a transaction may have BEGIN, two statements and COMMIT of their own; a committed transaction must have exactly the rows of its own statements; an open transaction holds its row of the ledger; a stream between two proxies can break, with late messages.

--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -28,17 +28,21 @@
 	// proxy is the proxy that the session sends the request to.
 	proxy *Proxy
 	Class string
-	// Transaction makes the write a transaction of two statements.
+	// Transaction makes the write a transaction of two statements, each of which writes
+	// one row. The first one also begins it and the last one commits it, unless
+	// SeparateEnds is set.
 	Transaction bool
-	request     uint64
-	attempt     uint32
+	// SeparateEnds makes BEGIN and COMMIT statements of their own.
+	SeparateEnds bool
+	request      uint64
+	attempt      uint32
 	// value is what a write writes, 0 for a read.
 	value int
 	// floor is the lowest value that a read must return.
 	floor   int
 	started entity.Time
-	// lastStatement is set once the last statement of the transaction is sent.
-	lastStatement bool
+	// statement is the index of the last statement sent.
+	statement int
 	// Done is called with the final result, if set.
 	Done func(Outcome)
 }
@@ -73,11 +77,44 @@
 	return op
 }
 
+// twoRowsTimeout is the deadline that the callers of WriteTwoRows declare. It is shorter
+// than a failover, so that late statements of a transaction meet the next one.
+const twoRowsTimeout = 600 * time.Millisecond
+
+// WriteTwoRows sends a transaction of the session to the proxy: BEGIN, two statements that
+// write one row each, and COMMIT.
+func (w *World) WriteTwoRows(s *Session, proxy *Proxy, class string, done func(Outcome)) *Op {
+	s.writes++
+	w.checks.requests++
+	op := &Op{
+		world: w, session: s, proxy: proxy, Class: class, Transaction: true, SeparateEnds: true,
+		request: w.checks.requests, attempt: 1, value: s.writes, started: w.Now, Done: done,
+	}
+	op.send()
+	return op
+}
+
+// lastStatement returns the index of the statement that commits.
+func (op *Op) lastStatement() int {
+	switch {
+	case op.SeparateEnds:
+		return 3
+	case op.Transaction:
+		return 1
+	}
+	return 0
+}
+
+// writesRow reports whether a statement of the transaction writes a row.
+func (op *Op) writesRow(statement int) bool {
+	return !op.SeparateEnds || (statement > 0 && statement < op.lastStatement())
+}
+
 // Retry sends a write again with the same request id and the next attempt number.
 // The proxy may be another one.
 func (w *World) Retry(op *Op, proxy *Proxy, done func(Outcome)) *Op {
 	retry := *op
-	retry.proxy, retry.started, retry.Done, retry.lastStatement = proxy, w.Now, done, false
+	retry.proxy, retry.started, retry.Done, retry.statement = proxy, w.Now, done, 0
 	retry.attempt++
 	retry.send()
 	return &retry
@@ -92,44 +129,54 @@
 
 func (op *Op) send() {
 	w := op.world
+	r := &request{op: op, statement: op.statement}
 	w.after(w.Config.CallerDelay, func() {
+		w.recordMessage()
 		if op.proxy.dead {
 			w.after(w.Config.CallerDelay, func() {
 				op.complete(core.Result{Kind: core.ResultNotRun, Reason: "connection_refused"}, execution{})
 			})
 			return
 		}
-		op.proxy.accept(&request{op: op}, op.arrival())
+		op.proxy.accept(r, op.arrival(r.statement))
 	})
 }
 
-func (op *Op) arrival() core.Arrival {
+// arrival returns the core's input for a statement of the request.
+func (op *Op) arrival(statement int) core.Arrival {
 	a := core.Arrival{
 		Caller:        op.session.caller + entity.CallerID(op.proxy.index),
 		Database:      DatabaseName,
 		Class:         op.Class,
 		Session:       entity.SessionKey(op.session.id),
 		Attempt:       op.attempt,
-		InTransaction: op.lastStatement,
+		InTransaction: statement > 0,
 		Transaction:   op.request<<8 | uint64(op.attempt),
 	}
-	if op.request != 0 && !op.lastStatement {
+	if op.request != 0 && statement == 0 {
 		a.Request = entity.RequestKey{op.request, 1}
 	}
+	if op.SeparateEnds {
+		a.Timeout = twoRowsTimeout
+	}
 	if op.session.SendsToken {
 		a.Token = op.session.token
 	}
 	return a
 }
 
-// deliverResult sends a result to the caller. The caller then sends the last
-// statement of an open transaction, or completes.
+// deliverResult sends a result to the caller. The caller then sends the next statement
+// of an open transaction, or completes.
 func (op *Op) deliverResult(res core.Result, executed execution) {
 	w := op.world
 	w.checks.recordResult(w, op, res)
+	if op.SeparateEnds && res.Kind != core.ResultDone {
+		op.proxy.endTransaction(op)
+	}
 	w.after(w.Config.CallerDelay, func() {
-		if res.Kind == core.ResultDone && res.InTransaction && !op.lastStatement {
-			op.lastStatement = true
+		w.recordMessage()
+		if res.Kind == core.ResultDone && res.InTransaction && op.statement < op.lastStatement() {
+			op.statement++
 			op.send()
 			return
 		}
--- a/internal/model/checks.go
+++ b/internal/model/checks.go
@@ -69,10 +69,16 @@
 	c.primaryTerms = append(c.primaryTerms, primaryTerm{member, term, now})
 }
 
+// rowsPerTransaction is the number of rows that each transaction writes.
+const rowsPerTransaction = 2
+
 // recordCommit records a commit. It checks that the caller was not told before that
-// the request did not run.
+// the request did not run, and that a transaction has both of its rows and no other.
 func (c *checker) recordCommit(e LogEntry) {
 	c.committed[e.Request] = true
+	if e.Rows != nil && (len(e.Rows) != rowsPerTransaction || e.Rows[0] != e.Request || e.Rows[1] != e.Request) {
+		c.addViolation("the transaction of request %d was committed with rows of requests %v", e.Request, e.Rows)
+	}
 	if c.notRun[e.Request] {
 		c.addViolation("request %d was committed after its result was not run", e.Request)
 	}
@@ -93,10 +99,10 @@
 	}
 	switch res.Kind {
 	case core.ResultNotRun, core.ResultWriteLost:
-		if !op.lastStatement {
+		if op.statement == 0 {
 			c.notRun[op.request] = true
 		}
-		if c.committed[op.request] && !op.lastStatement {
+		if c.committed[op.request] && op.statement == 0 {
 			c.addViolation("request %d has the result not run (%s) but was committed", op.request, res.Reason)
 		}
 	}
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -15,6 +15,9 @@
 	Session int
 	// Value is the number of the write within the session, from 1.
 	Value int
+	// Rows has, for each row of a transaction, the request whose statement wrote it. It is
+	// nil for a write without a transaction.
+	Rows []uint64
 }
 
 // Member is a fake upstream. It has a log with terms, replication with a lag, and a
@@ -231,6 +234,19 @@
 	return false
 }
 
+// holdsLedgerRow reports whether a transaction that is open on another connection than c
+// has inserted the request into the ledger.
+func (m *Member) holdsLedgerRow(request uint64, c *conn) bool {
+	for _, p := range m.world.Proxies {
+		for _, other := range p.conns {
+			if other != c && other.member == m && other.pending != nil && other.pending.Request == request && other.term == m.term {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // read returns the highest applied value of the session. It need not be the last one:
 // a write with an unknown outcome may enter the log after a later write of its session.
 func (m *Member) read(session int) int {
--- a/internal/model/proxy.go
+++ b/internal/model/proxy.go
@@ -41,6 +41,8 @@
 // the owner that it was forwarded to.
 type request struct {
 	op *Op
+	// statement is the index of the statement of a transaction.
+	statement int
 	// forwardedBy is the proxy that forwarded the request here, nil if the caller
 	// sent it here.
 	forwardedBy *Proxy
@@ -337,8 +339,9 @@
 	r := p.openRequests[f.Handle]
 	to := p.peer(f.Peer)
 	r.forwardedTo = to
-	arrival := r.op.arrival()
+	arrival := r.op.arrival(r.statement)
 	arrival.Class, arrival.Timeout, arrival.ForwardedBy = f.Class, f.Timeout, p.vm
+	arrival.Stream = p.world.streamNumber
 	if to.dead {
 		p.world.after(p.world.delay(p.index, to.index), func() {
 			p.post(func(in *core.Inputs) {
@@ -348,10 +351,26 @@
 		return
 	}
 	p.world.sendOnStream(string(p.vm), string(to.vm), p.world.delay(p.index, to.index), func() {
-		to.accept(&request{op: r.op, forwardedBy: p, remoteHandle: f.Handle}, arrival)
+		to.accept(&request{op: r.op, statement: r.statement, forwardedBy: p, remoteHandle: f.Handle}, arrival)
 	})
 }
 
+// endTransaction tells the node and its peers that the caller has abandoned the
+// transaction, as a proxy does when it answers a statement of it with an error.
+func (p *Proxy) endTransaction(op *Op) {
+	a := op.arrival(op.statement)
+	closed := core.CallerClosed{Caller: a.Caller, Transaction: a.Transaction}
+	for _, other := range p.world.Proxies {
+		delay := time.Duration(0)
+		if other != p {
+			delay = p.world.delay(p.index, other.index)
+		}
+		p.world.sendOnStream(string(p.vm), string(other.vm), delay, func() {
+			other.post(func(in *core.Inputs) { in.CallersClosed = append(in.CallersClosed, closed) })
+		})
+	}
+}
+
 // accept passes a new request to the node.
 func (p *Proxy) accept(r *request, a core.Arrival) {
 	p.lastHandle++
--- a/internal/model/upstreams.go
+++ b/internal/model/upstreams.go
@@ -112,34 +112,61 @@
 	})
 }
 
-// runBatch runs a batch at the member and sends the response.
+// runBatch runs a batch at the member in one of its slots.
 func (p *Proxy) runBatch(d core.Dispatch, r *request, c *conn) {
 	w, m := p.world, c.member
 	serviceTime := w.Config.ServiceTime/2 + time.Duration(w.rng.Int64N(int64(w.Config.ServiceTime)))
 	m.execute(serviceTime, func() {
-		if p.dead && c.pending == nil && d.Continued {
-			// Kill rolled the transaction back.
-			return
-		}
-		done, executed := p.executeBatch(d, r.op, c)
-		if c.resetOnResponse {
-			done = core.Completion{Kind: core.CompletionBroken}
-		}
-		w.sendOnStream(string(m.name), string(p.vm), w.delay(m.index, p.index), func() {
-			p.postCompletion(d, done, executed, 0)
-		})
+		p.awaitLedgerLock(d, r, c, w.Now.Add(ledgerLockTimeout), func() { p.answerBatch(d, r, c) })
+	})
+}
+
+const (
+	// ledgerLockTimeout bounds the wait for the ledger row of an open transaction. It is
+	// that of the upstream of the tests with real processes.
+	ledgerLockTimeout  = 2 * time.Second
+	ledgerLockInterval = 10 * time.Millisecond
+)
+
+// awaitLedgerLock calls run once no other open transaction at the member holds the ledger
+// row of the request. If the lock is not free in time, the batch is rejected.
+func (p *Proxy) awaitLedgerLock(d core.Dispatch, r *request, c *conn, until entity.Time, run func()) {
+	w := p.world
+	switch {
+	case !d.Ledger || d.Continued || !c.member.holdsLedgerRow(r.op.request, c):
+		run()
+	case w.Now >= until:
+		p.postCompletion(d, core.Completion{Kind: core.CompletionRejected}, execution{}, w.delay(c.member.index, p.index))
+	default:
+		w.after(ledgerLockInterval, func() { p.awaitLedgerLock(d, r, c, until, run) })
+	}
+}
+
+// answerBatch applies a batch at the member and sends the response.
+func (p *Proxy) answerBatch(d core.Dispatch, r *request, c *conn) {
+	w, m := p.world, c.member
+	if p.dead && c.pending == nil && d.Continued {
+		// Kill rolled the transaction back.
+		return
+	}
+	done, executed := p.executeBatch(d, r, c)
+	if c.resetOnResponse {
+		done = core.Completion{Kind: core.CompletionBroken}
+	}
+	w.sendOnStream(string(m.name), string(p.vm), w.delay(m.index, p.index), func() {
+		p.postCompletion(d, done, executed, 0)
 	})
 }
 
 // executeBatch applies a batch at the member and returns its completion.
-func (p *Proxy) executeBatch(d core.Dispatch, op *Op, c *conn) (core.Completion, execution) {
-	m := c.member
+func (p *Proxy) executeBatch(d core.Dispatch, r *request, c *conn) (core.Completion, execution) {
+	m, op := c.member, r.op
 	if d.ReadOnly {
 		return core.Completion{Kind: core.CompletionAnswered}, execution{member: m, value: m.read(op.session.id)}
 	}
 	e := LogEntry{Request: op.request, Session: op.session.id, Value: op.value}
 	if d.Continued {
-		return p.commitPending(c)
+		return p.continueTransaction(r, c)
 	}
 	if !op.Transaction {
 		term := m.term
@@ -151,15 +178,35 @@
 	if d.Ledger && m.hasRequest(op.request) {
 		return core.Completion{Kind: core.CompletionDuplicate}, execution{}
 	}
+	e.Rows = []uint64{}
+	if op.writesRow(0) {
+		e.Rows = append(e.Rows, op.request)
+	}
 	c.pending, c.term = &e, m.term
 	return core.Completion{Kind: core.CompletionAnswered, InTransaction: true}, execution{member: m}
 }
 
-// commitPending commits the open transaction of a connection.
-func (p *Proxy) commitPending(c *conn) (core.Completion, execution) {
+// continueTransaction runs a statement of the open transaction of a connection.
+func (p *Proxy) continueTransaction(r *request, c *conn) (core.Completion, execution) {
 	if c.pending == nil {
 		return core.Completion{Kind: core.CompletionBroken}, execution{}
 	}
+	if r.op.writesRow(r.statement) {
+		c.pending.Rows = append(c.pending.Rows, r.op.request)
+	}
+	if r.statement == r.op.lastStatement() {
+		return p.commitPending(c)
+	}
+	if !c.member.primary || c.member.term != c.term {
+		// A fence aborted the transaction, and the upstream closed the connection.
+		c.pending = nil
+		return core.Completion{Kind: core.CompletionBroken}, execution{}
+	}
+	return core.Completion{Kind: core.CompletionAnswered, InTransaction: true}, execution{member: c.member}
+}
+
+// commitPending commits the open transaction of a connection.
+func (p *Proxy) commitPending(c *conn) (core.Completion, execution) {
 	kind := c.member.commit(c.term, *c.pending, false)
 	c.pending = nil
 	if kind == core.CompletionRejected {
@@ -203,10 +250,15 @@
 // that it returns runs at the proxy. Either message may be lost.
 func (p *Proxy) callMember(name entity.Upstream, call func(*Member) func()) {
 	w, m := p.world, p.world.member(name)
+	w.recordMessage()
 	w.sendDatagram(string(p.vm), string(m.name), w.delay(p.index, m.index), func() {
+		w.recordMessage()
 		m.whenNotFrozen(func() {
 			answer := call(m)
-			w.sendDatagram(string(m.name), string(p.vm), w.delay(m.index, p.index), answer)
+			w.sendDatagram(string(m.name), string(p.vm), w.delay(m.index, p.index), func() {
+				w.recordMessage()
+				answer()
+			})
 		})
 	})
 }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -75,6 +75,16 @@
 	claims   map[uint64]entity.VM
 	checks   checker
 
+	// messageTimes has the times at which messages were sent and delivered, other than
+	// heartbeats and replication, while recordsMessages is set.
+	messageTimes    []entity.Time
+	recordsMessages bool
+
+	// brokenStream is the last stream between two proxies that broke. streamNumber counts
+	// them.
+	brokenStream streamBreak
+	streamNumber uint64
+
 	listRevision uint64
 	leaving      []entity.Upstream
 }
@@ -188,15 +198,52 @@
 // sendOnStream calls fn after the delay d and once the link is not cut. Messages on a
 // connection are not lost, since TCP retransmits them.
 func (w *World) sendOnStream(from, to string, d time.Duration, fn func()) {
-	w.after(d, func() { w.deliverOnStream(from, to, fn) })
+	w.recordMessage()
+	sent := w.Now
+	w.after(d, func() { w.deliverOnStream(from, to, sent, fn) })
+}
+
+// streamBreak is the end of a stream between two endpoints. What was sent on it before
+// arrives late.
+type streamBreak struct {
+	link [2]string
+	// at is the time of the break, deliveredAt that at which the messages arrive.
+	at, deliveredAt entity.Time
+}
+
+// BreakStream ends the stream on which a proxy forwards requests to an owner. The proxy
+// notices at once and uses a new stream. What was sent on the old one, and the news of
+// its end, reach the owner after the delay.
+func (w *World) BreakStream(from, owner *Proxy, delay time.Duration) {
+	w.brokenStream = streamBreak{linkKey(from.Name(), owner.Name()), w.Now, w.Now.Add(delay)}
+	ended := w.streamNumber
+	w.streamNumber++
+	from.postPeerLost(owner, false)
+	w.after(delay+time.Millisecond, func() {
+		owner.post(func(in *core.Inputs) {
+			in.PeersDown = append(in.PeersDown, core.PeerDown{Peer: from.vm, Inbound: true, Stream: ended})
+		})
+	})
+}
+
+// recordMessage records that a message is sent or delivered now.
+func (w *World) recordMessage() {
+	if w.recordsMessages {
+		w.messageTimes = append(w.messageTimes, w.Now)
+	}
 }
 
 const retransmitInterval = 50 * time.Millisecond
 
-func (w *World) deliverOnStream(from, to string, fn func()) {
+func (w *World) deliverOnStream(from, to string, sent entity.Time, fn func()) {
+	if b := &w.brokenStream; b.link == linkKey(from, to) && sent < b.at && w.Now < b.deliveredAt {
+		w.after(b.deliveredAt.Sub(w.Now), func() { w.deliverOnStream(from, to, sent, fn) })
+		return
+	}
 	if w.isCut(from, to) {
-		w.after(retransmitInterval, func() { w.deliverOnStream(from, to, fn) })
+		w.after(retransmitInterval, func() { w.deliverOnStream(from, to, sent, fn) })
 		return
 	}
+	w.recordMessage()
 	fn()
 }
