--- a/core/api.go
+++ b/core/api.go
@@ -13,7 +13,9 @@
 type AckMode uint8
 
 const (
-	// AckPrimary requires that the primary was not replaced after the write.
+	// AckPrimary requires that a probe round after the write confirms the primary. A
+	// promotion may lose the write. A session that sends no token is told of such a loss
+	// only by the owner that acknowledged the write.
 	AckPrimary AckMode = iota
 	// AckMajority also requires that a majority of members has stored the write.
 	AckMajority
