--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -99,9 +99,11 @@
 // UrgentBound returns the bound while urgent statements wait that nothing else can serve.
 // lessUrgent is the number of less urgent statements in flight, urgent the usual bound while
 // urgent statements wait. The limit holds for the urgent ones alone, so that they never wait
-// for less urgent ones.
+// for less urgent ones. Less urgent ones beyond the limit, which were sent before it fell,
+// take the places of urgent ones.
 func (l *Limit) UrgentBound(usual, urgent, lessUrgent int) int {
-	return max(minLimit, min(urgent, lessUrgent+l.Bound(usual)))
+	bound := l.Bound(usual)
+	return max(minLimit, min(urgent, bound+min(bound, lessUrgent)))
 }
 
 // Ended reports whether the limit no longer applies.
--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -246,12 +246,14 @@
 			a.session.state.lastWrite = reply.Position
 		}
 		d.recordServed(p.member)
+		p.result = resultServed
 		d.endPermit(p, true)
 		return reply, true
 	case CodeBusy:
 		a.session.stages.busy++
 		d.mu.Lock()
 		p.member.pauseUntil = now().Add(busyPause)
+		p.result = resultFailed
 		d.mu.Unlock()
 		d.endPermit(p, true)
 		return a.retryOrReturn(reply)
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -60,6 +60,8 @@
 	// claim is the takeover claim seen in the store, zero if there is none.
 	claim   claimRecord
 	monitor *monitor
+	// primaryLatency is the latency of the last primary that was replaced, 0 if unknown.
+	primaryLatency time.Duration
 }
 
 // waiter is a request waiting for a permit.
@@ -87,6 +89,8 @@
 	finished bool
 	// onPrimary is set if the member was the believed primary when the permit was granted.
 	onPrimary bool
+	// result is what the statement showed about the member.
+	result permitResult
 }
 
 func newDatabase(p *Proxy, name entity.Database) *database {
@@ -163,6 +167,7 @@
 		m.openConns++
 	}
 	m.inFlight++
+	m.pace.granted(p)
 	w.granted <- grant{permit: p}
 }
 
@@ -199,12 +204,25 @@
 // maxInFlight returns the maximum number of statements that this proxy may have in flight
 // at a member. The mutex is held.
 func (d *database) maxInFlight(m *member) int {
-	if m != d.primary && m.onTrial() {
+	if m.pace == nil && m != d.primary && m.onTrial() {
 		return 1
 	}
+	urgent := 0
 	if d.scheduler.Queued(0) > 0 {
-		return min(d.connectionShare, perProxyShare(urgentFactor*m.entry.Slots, d.sharingProxies))
+		urgent = min(d.connectionShare, perProxyShare(urgentFactor*m.entry.Slots, d.sharingProxies))
 	}
+	if m.pace != nil && m.pace.active {
+		return m.pace.bound(d.usualBound(m), urgent)
+	}
+	if urgent > 0 {
+		return urgent
+	}
+	return d.usualBound(m)
+}
+
+// usualBound returns the maximum number of statements in flight at a member while no
+// statement of rank 0 waits. The mutex is held.
+func (d *database) usualBound(m *member) int {
 	sharing := d.sharingProxies
 	if m != d.primary && m.distance == placement.SameZone {
 		sharing = d.sharingInZone
@@ -274,6 +292,7 @@
 	}
 	p.finished = true
 	at := now()
+	p.member.pace.finished(p, at)
 	p.member.inFlight--
 	cost := time.Duration(0)
 	if ran {
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -89,6 +89,7 @@
 		}
 		d.membersChangedAt = at
 		d.applyAssignment(d.proxy.assignGateways(d.name, d.gatewayLimits()))
+		d.addPace(m)
 	}
 	changed := !known || m.entry != entry || m.missingSince != 0
 	if m.entry.Address != entry.Address || m.entry.Incarnation != entry.Incarnation {
@@ -96,6 +97,7 @@
 			d.dropConnLocked(conn)
 		}
 		m.idleConns = m.idleConns[:0]
+		m.pace.begin(paceRestarted)
 		m.clearFailures()
 	}
 	newlyPrimary := entry.Primary && (!known || !m.entry.Primary || m.missingSince != 0) && m != d.primary
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -9,6 +9,7 @@
 
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/pace"
 	"skylarkhinge.dev/skylarkhinge/core/takeover"
 	"skylarkhinge.dev/skylarkhinge/internal/telemetry"
 )
@@ -185,6 +186,16 @@
 	e.stateChanged("upstream_gone", logrus.Fields{"database": db, "peer": name})
 }
 
+func (e *events) paceBegan(db entity.Database, name entity.Upstream, reason string, limit int) {
+	e.stateChanged("upstream_limit_began", logrus.Fields{"database": db, "peer": name, "reason": reason, "limit": limit})
+}
+
+func (e *events) paceEnded(db entity.Database, name entity.Upstream, l *pace.Limit, at entity.Time) {
+	e.stateChanged("upstream_limit_ended", logrus.Fields{
+		"database": db, "peer": name, "took_ms": l.Duration(at).Milliseconds(), "largest": l.Largest(),
+	})
+}
+
 func (e *events) memberFailed(db entity.Database, name entity.Upstream, step string, err error) {
 	e.rateLimited("upstream_failed", step, string(name), logrus.Fields{"database": db}, err)
 }
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -54,6 +54,8 @@
 	// changes to primary again.
 	deniedPrimary bool
 	latency       time.Duration
+	// pace is nil without the setting UpstreamPace.
+	pace *memberPace
 }
 
 // available reports whether the member is in use and not paused.
@@ -122,6 +124,7 @@
 // recordFailure records a failed connection and pauses the member.
 func (m *member) recordFailure(at entity.Time) {
 	m.failures++
+	m.pace.failed()
 	m.pauseUntil = at.Add(min(failurePause<<min(m.failures, 4), maxFailurePause))
 }
 
@@ -132,6 +135,7 @@
 		return
 	}
 	m.failures++
+	m.pace.failed()
 	m.pauseUntil = at.Add(min(failurePause<<min(m.failures, 5), maxLostReplyPause))
 }
 
@@ -141,6 +145,9 @@
 
 // clearFailures records that the member is reachable.
 func (m *member) clearFailures() {
+	if m.failures > 0 {
+		m.pace.begin(paceRecovered)
+	}
 	m.failures = 0
 	m.pauseUntil = 0
 }
--- a/internal/managed/metrics.go
+++ b/internal/managed/metrics.go
@@ -58,7 +58,7 @@
 func (d *database) sample() telemetry.DatabaseSample {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	sample := telemetry.DatabaseSample{Name: string(d.name)}
+	sample := telemetry.DatabaseSample{Name: string(d.name), Limits: d.paceSample()}
 	for rank := range d.rankCount {
 		queued := d.scheduler.Queued(rank)
 		sample.Ranks = append(sample.Ranks, telemetry.RankSample{Rank: rankName(rank), Queued: queued})
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -114,6 +114,7 @@
 	d.mu.Lock()
 	d.removeExpiredMembers(at)
 	d.closeIdle(at)
+	d.endPaces(at)
 	primary := d.primary
 	leaving := primary != nil && primary.leavingSince != 0
 	failing := primary != nil && (primary.failures > 0 || primary.removed)
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -32,12 +32,13 @@
 	conn, err := dialMember(ctx, d.proxy.options.Protocol, m, entry)
 	if err == nil {
 		conn.pooled = true
-		p.conn = conn
+		p.conn, conn.lastUsed = conn, now()
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m.openConns--
+	p.result = resultFailed
 	d.recordDialFailure(m, err)
 	return err
 }
@@ -92,6 +93,7 @@
 	d := p.db
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	p.result = resultFailed
 	d.finishPermit(p, false)
 	if p.conn != nil {
 		d.dropConnLocked(p.conn)
@@ -167,14 +169,19 @@
 	if d.primaryTerm != 0 && term > d.primaryTerm {
 		d.lastPromotionAt = now()
 	}
+	promoted := d.primaryTerm != 0 && term > d.primaryTerm
 	previous := d.primary
 	d.primary, d.primaryTerm = m, term
+	d.pacePrimaryReplaced(previous)
 	d.proxy.events.primaryChanged(d.name, previous, m, term, reason)
 	if d.proxy.observer != nil && previous != m && m != nil {
 		d.proxy.observer.metrics.ForDatabase(string(d.name)).CountPrimaryChange()
 	}
 	at := now()
 	if m != nil {
+		if promoted {
+			m.pace.begin(pacePromoted)
+		}
 		m.clearFailures()
 	}
 	d.dispatch(at)
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -52,6 +52,8 @@
 	watchLog *watchLog
 	// configured is closed when the first configuration takes effect.
 	configured chan struct{}
+	// firstListingDone is set once the entries of the first listing have been applied.
+	firstListingDone atomic.Bool
 	// drainStarted is closed when the shutdown begins.
 	drainStarted chan struct{}
 
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -210,6 +210,7 @@
 	s.revision = revision
 	if s.startedAt == 0 {
 		s.startedAt = now()
+		s.proxy.firstListingDone.Store(true)
 		close(s.listed)
 	}
 	return nil
--- a/internal/telemetry/sample.go
+++ b/internal/telemetry/sample.go
@@ -35,6 +35,14 @@
 	Name              string
 	Ranks             []RankSample
 	Primary, Replicas UpstreamSample
+	// Limits are nil if this proxy does not limit upstreams that start or recover.
+	Limits *LimitSample
+}
+
+// LimitSample is the limit of this proxy's statements in flight at the primary, and at all
+// replicas in total, that start or recover. 0 means that none is limited.
+type LimitSample struct {
+	Primary, Replicas int
 }
 
 // RankSample is the queue length of a rank.
@@ -50,7 +58,7 @@
 
 // gauges are the instruments whose values come from samples.
 type gauges struct {
-	callers, inFlight, revision, queued, slots, connections metric.Int64ObservableGauge
+	callers, inFlight, revision, queued, slots, connections, limit metric.Int64ObservableGauge
 }
 
 func (m *Metrics) defineGauges(sample Sampler) {
@@ -61,6 +69,7 @@
 		queued:      m.gauge("queue_length", "Queued requests of an owned database."),
 		slots:       m.gauge("slots_used", "Slots in use by this proxy."),
 		connections: m.gauge("upstream_connections", "Open connections of this proxy to upstreams."),
+		limit:       m.gauge("upstream_limit", "Limit of this proxy's statements in flight at upstreams that start or recover, 0 without one."),
 	}
 	if m.err != nil {
 		return
@@ -73,7 +82,7 @@
 		}
 		return nil
 	}
-	_, err := m.meter.RegisterCallback(observe, g.callers, g.inFlight, g.revision, g.queued, g.slots, g.connections)
+	_, err := m.meter.RegisterCallback(observe, g.callers, g.inFlight, g.revision, g.queued, g.slots, g.connections, g.limit)
 	m.err = errors.Join(m.err, err)
 }
 
@@ -104,4 +113,9 @@
 		o.ObserveInt64(g.slots, int64(u.SlotsUsed), labels)
 		o.ObserveInt64(g.connections, int64(u.Connections), labels)
 	}
+	if l := d.Limits; l != nil {
+		for role, limit := range map[string]int{"primary": l.Primary, "replica": l.Replicas} {
+			o.ObserveInt64(g.limit, int64(limit), metric.WithAttributes(database, attribute.String("role", role)))
+		}
+	}
 }
