--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -64,6 +64,8 @@
 	connections int
 	routes      []standin.Route
 	nodes       []*node
+	// upstreamPace is the setting of that name of proxies started later.
+	upstreamPace bool
 	// logOutput replaces the log output of proxies started later, if set.
 	logOutput io.Writer
 }
@@ -128,6 +130,7 @@
 	settings.VM = fmt.Sprintf("vm-%d", i)
 	settings.AvailabilityZone, settings.Region = fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("region-%d", i%3)
 	settings.LogLinesPerSecond, settings.LogBytesPerSecond = 1000, 1<<20
+	settings.UpstreamPace = f.upstreamPace
 	peers, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	settings.PeerAddress = peers.Addr().String()
