--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -38,6 +38,10 @@
 	// slowDecrease and failureDecrease are the factors of a decrease.
 	slowDecrease    = 0.7
 	failureDecrease = 0.5
+	// minLastAnswers is the minimum number of answers in the round after which a limit ends.
+	// With one answer, many gateways before a single slot took the first answers of its queue
+	// for a fast upstream. In the rounds before, it would leave a fast upstream idle.
+	minLastAnswers = 4
 	// minLimit is the lowest limit, because only answers show the state of the upstream.
 	minLimit = 1
 )
@@ -127,7 +131,7 @@
 	l.total += at.Sub(sent)
 	// Half of the limit in use shows how the upstream copes: an increase is by half.
 	l.inUse = l.inUse || 2*inFlight >= l.Bound(usual)
-	if l.answers < l.Bound(usual) {
+	if l.answers < roundLength(l.Bound(usual), usual) {
 		return
 	}
 	mean, inUse := l.total/time.Duration(l.answers), l.inUse
@@ -135,6 +139,14 @@
 	l.adjust(mean, inUse, usual)
 }
 
+// roundLength returns the number of answers in a round.
+func roundLength(bound, usual int) int {
+	if bound < usual {
+		return bound
+	}
+	return max(minLastAnswers, bound)
+}
+
 // Failed records a statement that was sent at an instant and that was refused or got no
 // answer. Statements that were sent before the last change of the limit count once.
 func (l *Limit) Failed(at, sent entity.Time) {
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -129,7 +129,7 @@
 // answers records rounds of answers with the given latency.
 func answers(l *Limit, at entity.Time, rounds, usual int, latency time.Duration) entity.Time {
 	for range rounds {
-		for range l.Bound(usual) {
+		for range roundLength(l.Bound(usual), usual) {
 			l.Answered(at.Add(latency), at, l.Bound(usual), usual)
 		}
 		at = at.Add(latency)
