--- a/internal/managed/pace_test.go
+++ b/internal/managed/pace_test.go
@@ -46,6 +46,7 @@
 	known.pace.active = false
 	d.setPrimary(known, 2, "test")
 	assert.Equal(t, d.maxInFlight(known), 3)
+	assert.Equal(t, d.sample().Limits.Primary, 3)
 
 	d, list = pacedDatabase(false, 1)
 	d.proxy.firstListingDone.Store(true)
@@ -54,6 +55,46 @@
 	d.setPrimary(d.members["u1"], 1, "test")
 	d.setPrimary(d.members["u2"], 2, "test")
 	assert.Equal(t, d.maxInFlight(d.members["u2"]), 10)
+	assert.Assert(t, d.sample().Limits == nil)
+}
+
+// Guards against reads that wait for the nearest member while it is limited and a peer has
+// room, and against a failed replica that gets more than one statement until it answers.
+func TestReadsGoToPeersOfALimitedMember(t *testing.T) {
+	d, list := pacedDatabase(true, 1)
+	near := d.members["u1"]
+	far := list("u2", 1)
+	far.distance, near.latency, far.latency = 2, 30*time.Millisecond, 30*time.Millisecond
+	near.inFlight = 1
+	assert.Equal(t, d.chooseReader(now()), near)
+	near.recordLostReply(now())
+	near.pauseUntil = 0
+	assert.Equal(t, d.maxInFlight(near), 1)
+	assert.Equal(t, d.chooseReader(now()), far)
+	near.clearFailures()
+	assert.Equal(t, d.maxInFlight(near), 3)
+	assert.Equal(t, d.chooseReader(now()), near)
+	near.inFlight = 3
+	assert.Equal(t, d.chooseReader(now()), far)
+}
+
+// Guards against allocations that the limit adds to each statement.
+func TestLimitTakesNoAllocations(t *testing.T) {
+	run := func(enabled bool) float64 {
+		d, list := pacedDatabase(enabled, 1)
+		d.proxy.firstListingDone.Store(true)
+		m := list("u2", 1)
+		d.setPrimary(m, 1, "test")
+		conn := &memberConn{member: m, pooled: true}
+		m.openConns, m.idleConns = 1, []*memberConn{conn}
+		return testing.AllocsPerRun(1000, func() {
+			p, refusal := d.acquire(flood.LanePrimary, 0, now().Add(time.Second), "")
+			assert.Assert(t, refusal == nil)
+			p.result = resultServed
+			d.endPermit(p, true)
+		})
+	}
+	assert.Equal(t, run(true), run(false))
 }
 
 // Guards against urgent statements at the primary that wait for less urgent ones because of
