--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -219,6 +219,7 @@
 	s.confirm(sent, 0)
 	if s.startedAt == 0 {
 		s.startedAt = now()
+		s.proxy.firstListingDone.Store(true)
 		close(s.listed)
 		if len(s.watchers()) == 0 {
 			// The other proxies of a fleet that starts register within this time, so that most
