--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -153,7 +153,7 @@
 func (a *account) want(at entity.Time, leaseTime time.Duration) int {
 	a.decay(at, leaseTime)
 	ahead := int(a.demand * leaseTime.Seconds() / 2)
-	if len(a.queue) > 1 && a.limited {
+	if a.limited && len(a.queue) > 1 {
 		ahead = int(a.demand * leaseTime.Seconds())
 	}
 	held := a.tokens(at)
--- a/core/quota/parameters.go
+++ b/core/quota/parameters.go
@@ -4,7 +4,7 @@
 
 // leasesPerWindow is the ratio of the window to the lease time. Longer leases leave less
 // of the bound for the refill, shorter ones need more messages.
-const leasesPerWindow = 20
+const leasesPerWindow = 40
 
 // Parameters are the bounds of the deployment.
 type Parameters struct {
@@ -36,30 +36,33 @@
 // none reports whether an organisation may run nothing.
 func (l Limits) none() bool { return l.Rate <= 0 && l.Burst <= 0 }
 
-// extra is the part of the spare that the refill and the capacity get each.
-func (p Parameters) extra(l Limits) float64 { return max(0, p.spare(l)/spareParts) }
+// extra returns a part of the spare, 0 if there is none.
+func (p Parameters) extra(l Limits, part float64) float64 { return max(0, p.spare(l)*part) }
 
-// Refill returns the tokens that a bucket gains per second: the rate, and a quarter of the
-// spare, which makes up for tokens that expire. In a window and a lease time, refill and
+// Refill returns the tokens that a bucket gains per second: the rate, and half of the spare,
+// which makes up for tokens that expire. In a window and a lease time, refill and
 // capacity together stay within the bound.
 func (p Parameters) Refill(l Limits) float64 {
 	if l.none() {
 		return 0
 	}
 	span := (p.Window + p.Lease()).Seconds()
-	return min(l.Rate+p.extra(l)/span, (p.Bound(l)-p.Capacity(l))/span)
+	return min(l.Rate+p.extra(l, refillPart)/span, (p.Bound(l)-p.Capacity(l))/span)
 }
 
-// Capacity returns the maximum number of tokens in a bucket: the burst, and a quarter of the
+// Capacity returns the maximum number of tokens in a bucket: the burst, and an eighth of the
 // spare. Without the latter a bucket of a small burst holds fewer tokens than a holder
 // spends until the next answer.
 func (p Parameters) Capacity(l Limits) float64 {
 	if l.none() {
 		return 0
 	}
-	return min(max(1, l.Burst+p.extra(l)), p.Bound(l))
+	return min(max(1, l.Burst+p.extra(l, capacityPart)), p.Bound(l))
 }
 
-// spareParts divides the spare: one part each for the refill and the capacity, two in reserve
-// for limiters that overlap for a moment.
-const spareParts = 4
+// refillPart and capacityPart are the parts of the spare that the refill and the capacity get.
+// The rest is in reserve for limiters that overlap for a moment.
+const (
+	refillPart   = 0.5
+	capacityPart = 0.125
+)
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -122,7 +122,7 @@
 	e.request("request_failed").WithFields(logrus.Fields{
 		"id": statement.ID, "database": s.databaseName, "group": s.databaseGroup(), "document": s.proxy.document().Version, "code": reply.Code.String(), "reason": reply.Text,
 		"took_ms": took.Milliseconds(), "caller": s.caller.Address(), "statement": statement.Kind,
-	}).WithFields(s.stages.logFields()).Info("request failed")
+	}).WithFields(s.identity.logFields()).WithFields(s.stages.logFields()).Info("request failed")
 }
 
 // requestSlow logs a statement that took longer than its route's target latency.
@@ -133,7 +133,7 @@
 	e.request("request_slow").WithFields(logrus.Fields{
 		"id": statement.ID, "database": s.databaseName, "group": s.databaseGroup(), "took_ms": took.Milliseconds(),
 		"caller": s.caller.Address(), "statement": statement.Kind,
-	}).WithFields(s.stages.logFields()).Info("request answered late")
+	}).WithFields(s.identity.logFields()).WithFields(s.stages.logFields()).Info("request answered late")
 }
 
 // callerUnknown logs that the configuration lists no organisation with a caller's key. The
--- a/internal/managed/identity.go
+++ b/internal/managed/identity.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
@@ -89,6 +90,14 @@
 	return hex.EncodeToString(c.digest[:digestPrefixBytes])
 }
 
+// logFields names the organisation of a request, if there is one.
+func (c *callerIdentity) logFields() logrus.Fields {
+	if c.organisation == "" {
+		return nil
+	}
+	return logrus.Fields{"organisation": c.organisation}
+}
+
 // gatewayOrderKey returns the key by which gateways at equal distance are ordered. All
 // sessions of an organisation prefer the same gateway, which reuses its connections.
 func (s *session) gatewayOrderKey() uint64 {
