--- a/core/quota/candidates.go
+++ b/core/quota/candidates.go
@@ -26,9 +26,9 @@
 	// 1/growthParts of the list for settleTime: when a fleet starts, the lists are complete
 	// after about 2 s, and a proxy that knows only some others would be the first for too
 	// many organisations.
-	minAge      = time.Second
-	settleTime  = 500 * time.Millisecond
-	maxGrowth   = 2 * time.Second
+	minAge      = 250 * time.Millisecond
+	settleTime  = 250 * time.Millisecond
+	maxGrowth   = time.Second
 	growthParts = 50
 	// maxCandidates is the number of candidates that are considered for an organisation. If
 	// all of them have just started, the whole fleet has.
