--- a/core/organisation/organisation.go
+++ b/core/organisation/organisation.go
@@ -60,6 +60,8 @@
 type Directory struct {
 	byKey         map[Digest]*Organisation
 	organisations map[Name]*Organisation
+	// totalRate is the sum of the rates of all organisations with a quota.
+	totalRate float64
 }
 
 // FieldError is a fault of the configuration.
@@ -101,6 +103,7 @@
 		return &FieldError{path, "rate or burst is negative"}
 	}
 	d.organisations[e.Name] = o
+	d.totalRate += o.Rate
 	for i, key := range e.Keys {
 		if err := d.addKey(o, key, fmt.Sprintf("%s.keys[%d]", path, i)); err != nil {
 			return err
@@ -130,5 +133,11 @@
 // Lookup returns an organisation by name, or nil.
 func (d *Directory) Lookup(name Name) *Organisation { return d.organisations[name] }
 
+// IsLarge reports whether an organisation's quota is more than an equal share of all quotas
+// among the given number of proxies, so that one proxy should not serve it alone.
+func (d *Directory) IsLarge(o *Organisation, proxies int) bool {
+	return o.Limited && o.Rate*float64(proxies) > d.totalRate
+}
+
 // Len returns the number of organisations.
 func (d *Directory) Len() int { return len(d.organisations) }
--- a/core/organisation/organisation_test.go
+++ b/core/organisation/organisation_test.go
@@ -60,3 +60,13 @@
 		d.Identify(DigestOf(keys[i%len(keys)]))
 	}
 }
+
+// Guards against an organisation with a large part of all quotas that one proxy serves alone.
+func TestIsLarge(t *testing.T) {
+	d, err := NewDirectory([]Entry{{Name: "a", Rate: number(50)}, {Name: "b", Rate: number(10)}, {Name: "c"}})
+	assert.NilError(t, err)
+	assert.Assert(t, d.IsLarge(d.Lookup("a"), 2))
+	assert.Assert(t, !d.IsLarge(d.Lookup("b"), 2))
+	assert.Assert(t, d.IsLarge(d.Lookup("b"), 12))
+	assert.Assert(t, !d.IsLarge(d.Lookup("c"), 12))
+}
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -30,7 +30,7 @@
 	if gateways == nil {
 		return nil
 	}
-	ordered := s.proxy.suspectedGateways.moveSuspectedLast(gateway.OrderByDistance(gateways, s.proxy.self(), s.gatewayOrderKey()))
+	ordered := s.proxy.suspectedGateways.moveSuspectedLast(gateway.OrderByDistance(gateways, s.proxy.self(), s.gatewayOrderKey(len(gateways))))
 	for _, g := range ordered[:min(attempts, len(ordered))] {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 		conn, err := s.proxy.options.Protocol.Dial(ctx, Member{Name: entity.Upstream(g.VM), Database: entity.Database(s.databaseName), Address: g.Address}, gatewayIdentity(s.identity.organisation))
--- a/internal/managed/identity.go
+++ b/internal/managed/identity.go
@@ -99,9 +99,12 @@
 }
 
 // gatewayOrderKey returns the key by which gateways at equal distance are ordered. All
-// sessions of an organisation prefer the same gateway, which reuses its connections.
-func (s *session) gatewayOrderKey() uint64 {
-	if s.identity.organisation == "" {
+// sessions of an organisation prefer the same gateway, which reuses its connections. Those
+// of a large organisation are spread, since one gateway's share of an upstream is too small
+// for them.
+func (s *session) gatewayOrderKey(gateways int) uint64 {
+	o := s.organisation()
+	if o == nil || s.identity.document.Organisations.IsLarge(o, gateways) {
 		return uint64(now())
 	}
 	return xxhash.Sum64String(string(s.identity.organisation))
--- a/internal/managed/identity_test.go
+++ b/internal/managed/identity_test.go
@@ -19,10 +19,18 @@
 	for i := range 4 {
 		gateways = append(gateways, gateway.Proxy{VM: entity.VM(fmt.Sprintf("vm-%d", i)), AvailabilityZone: "zone-0"})
 	}
+	rate := 1.0
+	entries := []organisation.Entry{{Name: "acme", Rate: &rate}}
+	for i := range 40 {
+		entries = append(entries, organisation.Entry{Name: organisation.Name(fmt.Sprintf("org-%d", i)), Rate: &rate})
+	}
+	directory, err := organisation.NewDirectory(entries)
+	assert.NilError(t, err)
+	document := &Document{Organisations: directory}
 	var suspected suspectedGateways
 	order := func(name organisation.Name) []gateway.Proxy {
-		s := &session{identity: callerIdentity{organisation: name}}
-		return suspected.moveSuspectedLast(gateway.OrderByDistance(gateways, gateways[0], s.gatewayOrderKey()))
+		s := &session{identity: callerIdentity{organisation: name, document: document}}
+		return suspected.moveSuspectedLast(gateway.OrderByDistance(gateways, gateways[0], s.gatewayOrderKey(len(gateways))))
 	}
 	used := map[entity.VM]int{}
 	for i := range 40 {
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -75,12 +75,17 @@
 const idleTimeout = 400 * time.Millisecond
 
 // minPooledConns is the number of connections to a member that stay open without load. All
-// gateways together leave half of the member's limit free; other proxies keep none. The
-// mutex is held.
+// gateways together leave half of the member's limit free; other proxies keep none. With
+// organisations a gateway keeps its share: a connection serves one organisation only, so
+// that few requests would find one, and opening one takes a slot of the member. The mutex
+// is held.
 func (d *database) minPooledConns() int {
 	if !d.isGateway {
 		return 0
 	}
+	if d.proxy.document().Organisations != nil {
+		return d.connectionShare
+	}
 	return max(1, d.connectionShare/2)
 }
 
