Run monitors and schedulers only for databases that a proxy uses

Change: the monitor's goroutine ends while the database is not in use, the scheduler exists from the first queued statement, and a proxy acts as a gateway once it has seen its own entry, after 2 s at most. Not measured yet.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -38,7 +38,11 @@
 	// sharingProxies is the number of proxies that share the upstreams' connections,
 	// sharingInZone the number of those in this availability zone.
 	sharingProxies, sharingInZone int
-	scheduler                     *flood.Scheduler
+	// scheduler is nil until a statement is queued; policy and slots are its parameters, slots
+	// by lane.
+	scheduler *flood.Scheduler
+	policy    flood.Policy
+	slots     [2]int
 	// rankCount is the number of ranks in the scheduler's policy.
 	rankCount  int
 	waiting    map[entity.Handle]*waiter
@@ -111,7 +115,6 @@
 		waiting:         map[entity.Handle]*waiter{},
 		connectionShare: 1,
 	}
-	d.scheduler = flood.New(flood.Policy{}, uint64(now()))
 	d.timer = time.AfterFunc(time.Hour, d.expireWaiting)
 	d.monitor = newMonitor(d)
 	return d
@@ -135,6 +138,9 @@
 	d.mu.Lock()
 	at := now()
 	d.lastStatementAt = at
+	if !d.isGateway {
+		d.monitor.start()
+	}
 	d.lastHandle++
 	w.item = flood.Item{
 		Handle: d.lastHandle, Rank: rank, Caller: uint64(d.lastHandle), Lane: lane,
@@ -144,7 +150,7 @@
 		w.item.Caller, w.item.SharedCaller = xxhash.Sum64String(string(key.organisation)), true
 	}
 	d.waiting[w.item.Handle] = w
-	if decision := d.scheduler.Offer(at, w.item); decision.Reason != flood.ReasonNone {
+	if decision := d.startScheduler().Offer(at, w.item); decision.Reason != flood.ReasonNone {
 		delete(d.waiting, w.item.Handle)
 		d.lastRefusalAt = at
 		d.mu.Unlock()
@@ -163,6 +169,9 @@
 // dispatch grants permits to waiting requests while members have capacity. The mutex is
 // held.
 func (d *database) dispatch(at entity.Time) {
+	if d.scheduler == nil {
+		return
+	}
 	for d.scheduler.Len(flood.LanePrimary) > 0 {
 		m := d.primary
 		if m == nil || !d.acceptsWork(m, at) || !m.hasConnection(at, d.connectionShare, &ownWork) || m.inFlight >= d.maxInFlight(m) {
@@ -239,7 +248,7 @@
 		return 1
 	}
 	urgent := 0
-	if d.scheduler.Queued(0) > 0 {
+	if d.scheduler != nil && d.scheduler.Queued(0) > 0 {
 		urgent = min(d.connectionShare, perProxyShare(urgentFactor*m.entry.Slots, d.sharingProxies))
 	}
 	if m.pace != nil && m.pace.active {
@@ -279,6 +288,9 @@
 
 // armTimer schedules the next run of expireWaiting. The mutex is held.
 func (d *database) armTimer(at entity.Time) {
+	if d.scheduler == nil {
+		return
+	}
 	next := d.scheduler.NextExpiry()
 	if len(d.waiting) > 0 {
 		// The end of a member's pause triggers no event, so the queue is polled.
@@ -300,6 +312,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	at := now()
+	if d.scheduler == nil {
+		return
+	}
 	d.dispatch(at)
 	d.refusalBuffer = d.scheduler.Expire(at, d.refusalBuffer[:0])
 	if len(d.refusalBuffer) > 0 {
@@ -330,7 +345,9 @@
 		cost = max(at.Sub(p.startedAt), time.Microsecond)
 		p.member.observeLatency(cost)
 	}
-	d.scheduler.Done(at, p.item, cost)
+	if d.scheduler != nil {
+		d.scheduler.Done(at, p.item, cost)
+	}
 }
 
 // returnConn returns a healthy connection to the pool, or closes it if the pool has no room
@@ -394,6 +411,7 @@
 
 // applyAssignment sets the connection share and the scheduler's slots. The mutex is held.
 func (d *database) applyAssignment(u gatewayAssignment) {
+	becomesGateway := u.isGateway && !d.isGateway
 	d.gateways, d.isGateway = u.gateways, u.isGateway
 	d.sharingProxies, d.sharingInZone = max(1, u.sharingProxies), max(1, u.sharingInZone)
 	d.connectionShare = max(1, d.usableConnections()/d.sharingProxies)
@@ -407,8 +425,30 @@
 			m.idleConns = m.idleConns[1:]
 		}
 	}
-	d.scheduler.SetSlots(flood.LanePrimary, d.connectionShare)
-	d.scheduler.SetSlots(flood.LaneReplica, max(1, readers)*d.connectionShare)
+	d.slots = [...]int{flood.LanePrimary: d.connectionShare, flood.LaneReplica: max(1, readers) * d.connectionShare}
+	d.applySlots()
+	if becomesGateway {
+		d.monitor.wake()
+	}
+}
+
+func (d *database) applySlots() {
+	if d.scheduler == nil {
+		return
+	}
+	for lane, slots := range d.slots {
+		d.scheduler.SetSlots(flood.Lane(lane), slots)
+	}
+}
+
+// startScheduler returns the scheduler, which exists once a statement was queued: a proxy
+// serves few of the thousands of databases. The mutex is held.
+func (d *database) startScheduler() *flood.Scheduler {
+	if d.scheduler == nil {
+		d.scheduler = flood.New(d.policy, uint64(now()))
+		d.applySlots()
+	}
+	return d.scheduler
 }
 
 // usableConnections is the number of connections to one member that all proxies together
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -145,6 +145,7 @@
 	}
 	m.missingSince = now()
 	d.proxy.events.memberMissing(d.name, name)
+	d.monitor.wake()
 }
 
 // adoptListedPrimary makes the only member listed as primary the believed primary. Using it
--- a/internal/managed/maxinflight_test.go
+++ b/internal/managed/maxinflight_test.go
@@ -25,7 +25,7 @@
 	m := &member{name: "u1", entry: Member{Name: "u1", Slots: 5}}
 	d.primary = m
 	assert.Equal(t, d.maxInFlight(m), 1)
-	d.scheduler.Offer(now(), flood.Item{Handle: 1, Deadline: now().Add(time.Second), Cost: time.Millisecond})
+	d.startScheduler().Offer(now(), flood.Item{Handle: 1, Deadline: now().Add(time.Second), Cost: time.Millisecond})
 	assert.Equal(t, d.scheduler.Queued(0), 1)
 	inFlight := d.sharingProxies * d.maxInFlight(m)
 	assert.Assert(t, inFlight >= urgentFactor*m.entry.Slots && inFlight < urgentFactor*m.entry.Slots+d.sharingProxies, "%d in flight", inFlight)
--- a/internal/managed/metrics.go
+++ b/internal/managed/metrics.go
@@ -84,7 +84,10 @@
 	defer d.mu.Unlock()
 	sample := telemetry.DatabaseSample{Name: string(d.name), Limits: d.paceSample()}
 	for rank := range d.rankCount {
-		queued := d.scheduler.Queued(rank)
+		queued := 0
+		if d.scheduler != nil {
+			queued = d.scheduler.Queued(rank)
+		}
 		sample.Ranks = append(sample.Ranks, telemetry.RankSample{Rank: rankName(rank), Queued: queued})
 	}
 	for _, m := range d.members {
@@ -101,5 +104,8 @@
 // setPolicy replaces the scheduler's policy. The mutex is held.
 func (d *database) setPolicy(policy flood.Policy) {
 	d.rankCount = len(policy.Ranks)
-	d.scheduler.SetPolicy(policy)
+	d.policy = policy
+	if d.scheduler != nil {
+		d.scheduler.SetPolicy(policy)
+	}
 }
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,10 +51,16 @@
 )
 
 // monitor tracks the primary of one database: which member it is, whether it answers, and
-// how recent its newest confirmed position is. It starts takeovers.
+// how recent its newest confirmed position is. It starts takeovers. Its goroutine runs only
+// while this proxy uses the database.
 type monitor struct {
-	db               *database
-	wakeup           chan struct{}
+	db     *database
+	wakeup chan struct{}
+	// mu guards running. ctx is nil if the monitor never runs.
+	mu      sync.Mutex
+	running bool
+	ctx     context.Context
+
 	primarySuspected atomic.Bool
 	// listedPrimary is a member whose entry newly says primary and that has not been
 	// queried yet.
@@ -84,6 +91,29 @@
 	case mon.wakeup <- struct{}{}:
 	default:
 	}
+	mon.start()
+}
+
+// start starts the goroutine unless it runs.
+func (mon *monitor) start() {
+	mon.mu.Lock()
+	defer mon.mu.Unlock()
+	if mon.running || mon.ctx == nil {
+		return
+	}
+	mon.running = true
+	go mon.run(mon.ctx)
+}
+
+// stop reports whether the goroutine may end: it was not woken since its last check.
+func (mon *monitor) stop() bool {
+	mon.mu.Lock()
+	defer mon.mu.Unlock()
+	if len(mon.wakeup) > 0 {
+		return false
+	}
+	mon.running = false
+	return true
 }
 
 // suspectPrimary makes the monitor check the primary immediately.
@@ -97,6 +127,9 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		pause := mon.check()
+		if pause == 0 && mon.stop() {
+			return
+		}
 		timer.Reset(pause)
 		select {
 		case <-ctx.Done():
@@ -106,11 +139,19 @@
 	}
 }
 
-// check runs one check of the database and returns the time until the next one.
+// check runs one check of the database and returns the time until the next one, 0 if none
+// is needed until the database is used or changes.
 func (mon *monitor) check() time.Duration {
 	d := mon.db
 	at := now()
-	mon.checkListedPrimary()
+	d.mu.Lock()
+	unused := !d.inUse(at)
+	d.mu.Unlock()
+	if unused {
+		mon.forgetReplacedPrimary()
+	} else {
+		mon.checkListedPrimary()
+	}
 	d.mu.Lock()
 	d.removeExpiredMembers(at)
 	d.closeIdle(at)
@@ -120,10 +161,11 @@
 	failing := primary != nil && (primary.failures > 0 || primary.removed)
 	memberCount := len(d.members)
 	movePrimary := primary != nil && d.shouldMovePrimary(at)
-	// A proxy that hands all its sessions over does not use the upstreams.
-	unused := !d.isGateway && (d.lastStatementAt == 0 || at.Sub(d.lastStatementAt) > localUseWindow)
+	settled := d.settled()
 	d.mu.Unlock()
 	switch {
+	case (memberCount == 0 || unused) && settled:
+		return 0
 	case memberCount == 0 || unused:
 		return monitorInterval
 	case primary == nil:
@@ -149,6 +191,28 @@
 	return monitorInterval
 }
 
+// inUse reports whether this proxy uses the database's members: it is a gateway, or has run
+// a statement recently. A proxy that hands all its sessions over does not use them. Before
+// it knows the other proxies, it takes itself for a gateway of each database. The mutex is
+// held.
+func (d *database) inUse(at entity.Time) bool {
+	if d.isGateway && d.proxy.fleetKnown.Load() {
+		return true
+	}
+	return d.lastStatementAt != 0 && at.Sub(d.lastStatementAt) <= localUseWindow
+}
+
+// settled reports whether nothing is left to be done for a database that is not in use: no
+// connection is open and no member's entry is missing. The mutex is held.
+func (d *database) settled() bool {
+	for _, m := range d.members {
+		if m.openConns > 0 || m.missingSince != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // removeExpiredMembers removes members whose entries have been missing for missingGrace.
 // The mutex is held.
 func (d *database) removeExpiredMembers(at entity.Time) {
--- a/internal/managed/pace_test.go
+++ b/internal/managed/pace_test.go
@@ -108,7 +108,7 @@
 	assert.Equal(t, d.maxInFlight(m), 1)
 	m.pace.granted(&permit{item: flood.Item{Rank: 2}})
 	m.inFlight++
-	d.scheduler.Offer(now(), flood.Item{Handle: 1, Deadline: now().Add(time.Second), Cost: time.Millisecond})
+	d.startScheduler().Offer(now(), flood.Item{Handle: 1, Deadline: now().Add(time.Second), Cost: time.Millisecond})
 	assert.Equal(t, d.scheduler.Queued(0), 1)
 	assert.Equal(t, d.maxInFlight(m), 2)
 }
--- a/internal/managed/pool_test.go
+++ b/internal/managed/pool_test.go
@@ -76,7 +76,7 @@
 	d.members[m.name], d.primary = m, m
 	d.connectionShare, d.sharingProxies, d.sharingInZone = share, 1, 1
 	d.setPolicy(flood.Policy{Ranks: []flood.RankPolicy{{Name: "only", KeptShare: 1}}, MaxQueued: 1000})
-	d.scheduler.SetSlots(flood.LanePrimary, share)
+	d.startScheduler().SetSlots(flood.LanePrimary, share)
 	return d, m
 }
 
--- a/internal/managed/primary.go
+++ b/internal/managed/primary.go
@@ -20,6 +20,20 @@
 	}
 }
 
+// forgetReplacedPrimary adopts the member last listed as primary without a status call. All
+// proxies of a large fleet would otherwise query the new primary after each promotion, most
+// of them for a database that they do not use.
+func (mon *monitor) forgetReplacedPrimary() {
+	if mon.listedPrimary.Swap(nil) == nil {
+		return
+	}
+	d := mon.db
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setPrimary(nil, d.primaryTerm, "listed")
+	d.adoptListedPrimary()
+}
+
 // findPrimary looks for a primary when none is known, and starts a takeover after
 // noPrimaryWait.
 func (mon *monitor) findPrimary(at entity.Time) {
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -59,6 +59,9 @@
 	watchLog *watchLog
 	// configured is closed when the first configuration takes effect.
 	configured chan struct{}
+	// fleetKnown is set once this proxy has seen its own entry in the store, and with it
+	// those of the other proxies.
+	fleetKnown atomic.Bool
 	// firstListingDone is set once the entries of the first listing have been applied.
 	firstListingDone atomic.Bool
 	// drainStarted is closed when the shutdown begins.
@@ -168,7 +171,8 @@
 		d.setPolicy(schedulingPolicy(p.document()))
 		d.applyAssignment(p.assignGateways(d.name, d.gatewayLimits()))
 		d.mu.Unlock()
-		go d.monitor.run(p.ctx)
+		d.monitor.ctx = p.ctx
+		d.monitor.wake()
 	}
 	return d
 }
@@ -404,6 +408,16 @@
 	}
 }
 
+// setFleetKnown makes this proxy use the databases of which it is a gateway.
+func (p *Proxy) setFleetKnown() {
+	if p.fleetKnown.Swap(true) {
+		return
+	}
+	for _, d := range p.sortedDatabases() {
+		d.monitor.wake()
+	}
+}
+
 // gatewayIndex returns this proxy's index among the gateways of the database, which are
 // ordered by weight, or -1 if it is not a gateway.
 func (d *database) gatewayIndex() int {
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -218,6 +218,8 @@
 	s.revision = revision
 	s.confirm(sent, 0)
 	if s.startedAt == 0 {
+		// A proxy that cannot register serves its callers as well.
+		time.AfterFunc(maxFleetUnknown, s.proxy.setFleetKnown)
 		s.startedAt = now()
 		s.proxy.firstListingDone.Store(true)
 		close(s.listed)
@@ -230,8 +232,17 @@
 	return nil
 }
 
+// maxFleetUnknown bounds the time after the first listing until this proxy acts as a gateway
+// although it has not seen its own entry.
+const maxFleetUnknown = 2 * time.Second
+
 func (s *storeSync) apply(changes []Change) {
 	p := s.proxy
+	defer func() {
+		if s.ownRevision.Load() != 0 {
+			p.setFleetKnown()
+		}
+	}()
 	for i := range changes {
 		c := &changes[i]
 		switch {
