Choose gateways without sorting all proxies

Cause: a change of the list of proxies chooses the gateways of each database, and each choice sorted all proxies. Change: gateway.Fleet holds what all databases share; Choose keeps the best of each zone in a heap and sorts only these.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -57,40 +57,28 @@
 	return limit
 }
 
+// weightSeparator separates the VM from the database in the hashed key.
+const weightSeparator = " "
+
 // Weight returns the rendezvous hash of a proxy for a database. Proxies with the
 // highest weights come first.
 func Weight(vm entity.VM, database entity.Database) uint64 {
-	return xxhash.Sum64String(string(vm) + " " + string(database))
+	var digest xxhash.Digest
+	digest.Reset()
+	digest.WriteString(string(vm))
+	digest.WriteString(weightSeparator)
+	digest.WriteString(string(database))
+	return digest.Sum64()
 }
 
-// Choose returns the gateways of a database among the listed proxies, ordered by
-// weight. The number of gateways in an availability zone is proportional to its
-// number of proxies and at least one, so that sessions stay in their zone. The total
-// may therefore exceed the maximum if there are many zones.
+// Choose returns the gateways of a database among the listed proxies as Fleet.Choose
+// does. A caller that chooses the gateways of many databases should use one Fleet.
 func Choose(proxies []Proxy, database entity.Database, limits Limits) []Proxy {
-	ordered := orderByWeight(proxies, func(vm entity.VM) uint64 { return Weight(vm, database) })
-	limit := limits.maxGateways()
-	if len(ordered) <= limit {
-		return ordered
-	}
-	zoneSizes := map[string]int{}
-	for _, p := range ordered {
-		zoneSizes[p.AvailabilityZone]++
-	}
-	var chosen []Proxy
-	chosenInZone := map[string]int{}
-	for _, p := range ordered {
-		zone := p.AvailabilityZone
-		if chosenInZone[zone] < max(1, limit*zoneSizes[zone]/len(ordered)) {
-			chosenInZone[zone]++
-			chosen = append(chosen, p)
-		}
-	}
-	return chosen
+	return NewFleet(proxies).Choose(database, limits)
 }
 
 // orderByWeight returns the proxies with the highest weight first. It computes each weight
-// once: a list change of a large fleet orders all proxies for each database.
+// once, however often the sort compares a proxy.
 func orderByWeight(proxies []Proxy, weight func(entity.VM) uint64) []Proxy {
 	type weighted struct {
 		weight uint64
--- a/core/gateway/scale_test.go
+++ b/core/gateway/scale_test.go
@@ -9,7 +9,7 @@
 	"skylarkhinge.dev/skylarkhinge/core/entity"
 )
 
-// Guards against a choice whose number of hashes grows faster than the fleet.
+// Guards against a choice of watchers whose number of hashes grows faster than the zone.
 func TestWeightIsComputedOnceForEachProxy(t *testing.T) {
 	for _, count := range []int{300, 1000, 5000} {
 		computed := 0
