Compute gateways from one fleet, and at most once a second for many databases

Cause: each change of the list of proxies built the list and sorted it for each database: 900 databases and 300 proxies took 77 ms a change.

--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -64,7 +64,7 @@
 	}
 	for name := range p.proxies.listed {
 		if !keys[vmPrefix+name] {
-			delete(p.proxies.listed, name)
+			p.proxies.remove(name)
 		}
 	}
 	for name, d := range p.databases {
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -75,16 +75,11 @@
 // The proxy's mutex is held.
 func (p *Proxy) assignGateways(name entity.Database, limits gateway.Limits) gatewayAssignment {
 	self := p.self()
-	proxies := []gateway.Proxy{self}
-	for _, other := range p.proxies.listed {
-		if other.VM != self.VM && other.Address != "" {
-			proxies = append(proxies, other)
-		}
-	}
-	a := gatewayAssignment{gateways: gateway.Choose(proxies, name, limits)}
+	fleet := p.proxies.gatewayFleet(self)
+	a := gatewayAssignment{gateways: fleet.Choose(name, limits)}
 	a.isGateway = gateway.Contains(a.gateways, self.VM) || self.Address == ""
 	a.sharingProxies = len(a.gateways)
-	if a.sharingProxies == len(proxies) {
+	if a.sharingProxies == p.proxies.fleetSize {
 		// Proxies whose entries vanished recently may still hold connections.
 		a.sharingProxies = max(a.sharingProxies, p.proxies.count())
 	}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -72,7 +72,10 @@
 	// databaseByMember maps each listed upstream to its database.
 	databaseByMember map[entity.Upstream]*database
 	proxies          proxyRegistry
-	sessions         map[*session]struct{}
+	// assignedAt is when the gateways of all databases were last computed.
+	assignedAt           entity.Time
+	assignmentsScheduled bool
+	sessions             map[*session]struct{}
 	// ctx is the context of Serve.
 	ctx context.Context
 	// quotas is nil if the settings have no quota window.
@@ -408,6 +411,36 @@
 	}
 }
 
+// maxAssignmentWork is the product of databases and proxies up to which the gateways are
+// recomputed at each change of the list of proxies, which takes about 1 ms. Beyond it, they are
+// recomputed once in assignmentInterval: a fleet of hundreds that starts changes its list
+// all the time.
+const (
+	maxAssignmentWork  = 20_000
+	assignmentInterval = time.Second
+)
+
+// scheduleAssignments recomputes the gateways of all databases now or soon. The proxy's
+// mutex is held.
+func (p *Proxy) scheduleAssignments() {
+	wait := assignmentInterval - now().Sub(p.assignedAt)
+	if wait <= 0 || len(p.databases)*len(p.proxies.listed) <= maxAssignmentWork {
+		p.assignedAt = now()
+		p.applyAssignments()
+		return
+	}
+	if p.assignmentsScheduled {
+		return
+	}
+	p.assignmentsScheduled = true
+	time.AfterFunc(wait, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.assignmentsScheduled, p.assignedAt = false, now()
+		p.applyAssignments()
+	})
+}
+
 // setFleetKnown makes this proxy use the databases of which it is a gateway.
 func (p *Proxy) setFleetKnown() {
 	if p.fleetKnown.Swap(true) {
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -45,6 +45,37 @@
 	// when all entries vanish together, as when the store revokes leases.
 	peak      int
 	peakSince time.Time
+	// fleet are this proxy and the listed ones that accept sessions, of which there are
+	// fleetSize. It is nil if it has to be built again.
+	fleet     *gateway.Fleet
+	fleetSize int
+}
+
+// put adds or replaces an entry.
+func (c *proxyRegistry) put(name string, p gateway.Proxy) {
+	if c.listed[name] != p {
+		c.listed[name], c.fleet = p, nil
+	}
+}
+
+func (c *proxyRegistry) remove(name string) {
+	delete(c.listed, name)
+	c.fleet = nil
+}
+
+// gatewayFleet returns the proxies among which gateways are chosen.
+func (c *proxyRegistry) gatewayFleet(self gateway.Proxy) *gateway.Fleet {
+	if c.fleet != nil {
+		return c.fleet
+	}
+	proxies := []gateway.Proxy{self}
+	for _, other := range c.listed {
+		if other.VM != self.VM && other.Address != "" {
+			proxies = append(proxies, other)
+		}
+	}
+	c.fleet, c.fleetSize = gateway.NewFleet(proxies), len(proxies)
+	return c.fleet
 }
 
 // peakHoldTime is how long a higher count is kept after entries were removed.
@@ -270,7 +301,7 @@
 		p.events.proxiesChanged(p.proxies.count())
 	}
 	if containsProxyEntry(changes) {
-		p.applyAssignments()
+		p.scheduleAssignments()
 	}
 }
 
@@ -286,12 +317,12 @@
 	}
 	p.mu.Lock()
 	if c.Removed {
-		delete(p.proxies.listed, name)
+		p.proxies.remove(name)
 	} else {
-		p.proxies.listed[name] = gateway.Proxy{
+		p.proxies.put(name, gateway.Proxy{
 			VM: entity.VM(name), AvailabilityZone: entry.AvailabilityZone, Region: entry.Region, Address: entry.PeerAddress,
 			StatusAddress: entry.StatusAddress,
-		}
+		})
 	}
 	p.mu.Unlock()
 	if name != p.settings().VM {
