--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -38,6 +38,9 @@
 	minReportedNew = 500 * time.Millisecond
 	// lateMessages is the time after a pause in which messages that waited for its end arrive.
 	lateMessages = 300 * time.Millisecond
+	// urgentRetry is the longest time after which a holder asks again for urgent operations. The
+	// limiter's time to retry spreads the other holders and may exceed an urgent route's wait.
+	urgentRetry = 25 * time.Millisecond
 	// relays is the number of other proxies that probe a candidate.
 	relays = 2
 	// TickInterval is the interval at which Wake must be called at least. It is shorter than
@@ -713,7 +716,7 @@
 		if g.RetryAfter > 0 {
 			a.nextAsk = at.Add(g.RetryAfter)
 			if g.Tokens < a.askedUrgent {
-				a.nextUrgent = a.nextAsk
+				a.nextUrgent = at.Add(min(g.RetryAfter, urgentRetry))
 			}
 		}
 		n.settle(at, a)
