--- a/core/quota/asking.go
+++ b/core/quota/asking.go
@@ -9,6 +9,8 @@
 
 // A Node as a holder: operations that need tokens, and the requests for them.
 
+// Admit decides on an operation that may wait for up to maxWait. retryAfter is set if it is
+// refused.
 func (n *Node) Admit(at entity.Time, name organisation.Name, limits Limits, urgent bool, maxWait time.Duration) (d Decision, ticket Ticket, retryAfter time.Duration) {
 	a := n.holder.account(at, name, limits)
 	d, ticket, retryAfter = n.holder.admit(at, a, urgent, maxWait)
@@ -27,6 +29,7 @@
 	return d, ticket, retryAfter
 }
 
+// Charge takes a token for a retry, into debt if there is none.
 func (n *Node) Charge(at entity.Time, name organisation.Name, limits Limits) {
 	a := n.holder.account(at, name, limits)
 	a.lastUse = at
@@ -55,6 +58,8 @@
 	})
 }
 
+// poll decides on waiting operations and asks for tokens. A request has all accounts that
+// need tokens from the same proxy, and one request to a proxy is in flight.
 func (n *Node) poll(at entity.Time) {
 	var asks []*call
 	kept := n.needing[:0]
@@ -91,6 +96,7 @@
 	}
 }
 
+// plan adds an account to the request to its limiter.
 func (n *Node) plan(at entity.Time, a *account, asks []*call) []*call {
 	target, retryAt := n.target(at, a.name)
 	if target == "" {
@@ -116,6 +122,8 @@
 	return append(asks, c)
 }
 
+// target returns the proxy to ask for an organisation's tokens. It is empty if none can be
+// asked before retryAt.
 func (n *Node) target(at entity.Time, name organisation.Name) (target entity.VM, retryAt entity.Time) {
 	ordered, settled := n.candidates.active(at, name, n.buffer)
 	n.buffer = ordered
@@ -133,6 +141,7 @@
 	return "", min(retryAt, at.Add(suspicionTime))
 }
 
+// ask sends the request of a planned call.
 func (n *Node) ask(at entity.Time, c *call) {
 	request := Request{From: n.self, Wants: make([]Want, len(c.accounts))}
 	for i, a := range c.accounts {
@@ -147,6 +156,7 @@
 	n.send(c, request, askTimeout)
 }
 
+// finishAsk deposits the granted tokens. The lease counts from the sending of the request.
 func (n *Node) finishAsk(at entity.Time, c *call, answer *Answer, ok bool) {
 	if p := n.candidates.peers[c.to]; p != nil && p.asking == c {
 		p.asking = nil
--- a/core/quota/listing.go
+++ b/core/quota/listing.go
@@ -8,8 +8,11 @@
 	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
 
+// Counters returns the operations of all organisations at this proxy, and the tokens that it
+// granted as a limiter.
 func (n *Node) Counters() (total Counters, granted uint64) { return n.holder.total, n.limiter.granted }
 
+// Row describes an organisation at this proxy.
 type Row struct {
 	Name   organisation.Name
 	Limits Limits
@@ -23,6 +26,7 @@
 	Counters Counters
 }
 
+// Rows returns up to limit rows, ordered by name.
 func (n *Node) Rows(at entity.Time, limit int) []Row {
 	names := slices.Sorted(maps.Keys(n.holder.accounts))
 	rows := make([]Row, 0, min(limit, len(names)))
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -49,7 +49,6 @@
 )
 
 // callKind is the purpose of a request that the node sent.
-
 type callKind uint8
 
 const (
@@ -61,7 +60,6 @@
 )
 
 // call is a request in flight.
-
 type call struct {
 	kind   callKind
 	to     entity.VM
@@ -76,7 +74,6 @@
 }
 
 // pending is an answer that waits for other proxies.
-
 type pending struct {
 	reply  ReplyID
 	local  *call
@@ -86,9 +83,7 @@
 }
 
 // Node decides for one proxy, as a holder and as a limiter. It is not safe for concurrent
-
 // use.
-
 type Node struct {
 	self       entity.VM
 	parameters Parameters
@@ -110,9 +105,7 @@
 }
 
 // NewNode returns a node. limitsOf returns the limits of an organisation in this proxy's
-
 // configuration; for others the limits in the request apply.
-
 func NewNode(self entity.VM, parameters Parameters, limitsOf func(organisation.Name) (Limits, bool)) *Node {
 	seed := xxhash.Sum64String(string(self))
 	return &Node{
@@ -123,9 +116,7 @@
 }
 
 // TakeEffects returns the actions that the calls so far asked for. The slices are not used
-
 // by the node afterwards.
-
 func (n *Node) TakeEffects() Effects {
 	if n.effects.empty() {
 		return Effects{}
@@ -136,9 +127,7 @@
 }
 
 // Update replaces the list of proxies, which contains this one once it is registered. It
-
 // must be called at least once a second.
-
 func (n *Node) Update(at entity.Time, listed []entity.VM) {
 	if n.startedAt == 0 && len(listed) > 0 {
 		n.startedAt = at
@@ -153,18 +142,7 @@
 	n.poll(at)
 }
 
-// forgetOthers drops the buckets of organisations whose first candidate this proxy no longer
-
-// is. If it becomes the first again, the bucket starts empty.
-
-// Admit decides on an operation that may wait for up to maxWait. retryAfter is set if it is
-
-// refused.
-
-// Charge takes a token for a retry, into debt if there is none.
-
 // Wake does what is due. It returns the time at which to call it again.
-
 func (n *Node) Wake(at entity.Time) entity.Time {
 	n.limiter.Tick(at)
 	n.forgetOthers(at)
@@ -183,9 +161,7 @@
 }
 
 // NextDue returns the earliest time at which an operation's wait ends or tokens are to be
-
 // asked for.
-
 func (n *Node) NextDue(at entity.Time) entity.Time {
 	next := entity.Never
 	for _, a := range n.needing {
@@ -202,80 +178,13 @@
 	return max(next, at.Add(time.Millisecond))
 }
 
-// poll decides on waiting operations and asks for tokens. A request has all accounts that
-
-// need tokens from the same proxy, and one request to a proxy is in flight.
-
-// plan adds an account to the request to its limiter.
-
-// target returns the proxy to ask for an organisation's tokens. It is empty if none can be
-
-// asked before retryAt.
-
-// ask sends the request of a planned call.
-
 func (n *Node) send(c *call, request Request, timeout time.Duration) {
 	n.lastCall++
 	n.calls[n.lastCall] = c
 	n.effects.Sends = append(n.effects.Sends, Send{ID: n.lastCall, To: c.to, Request: request, Timeout: timeout})
 }
 
-// Receive handles a request of another proxy. A Reply follows.
-
-// serve grants tokens or asks the limiter for them. After a pause of this proxy it may be the
-
-// first thing that runs, so it checks for one.
-
-// ping asks the candidates of an organisation that this proxy, which is new, knows nothing
-
-// of whether they are new as well.
-
-// newCandidates returns this proxy, if it is new, and the new candidates of the organisations
-
-// of some wants.
-
-// newUntil returns when this proxy no longer counts as new, 0 if it has no list yet.
-
-// readyAt returns the time from which this proxy may act as a limiter.
-
-// recordNew records new proxies that another one named. What it says of others only shortens
-
-// the time and counts only while it is long: otherwise the delays of messages add up, and
-
-// proxies that tell each other would count a third one as new forever. Messages that waited
-
-// while this proxy was paused do not count, since their times are of no use.
-
-// serveWant grants tokens to one organisation, or adds it to a forwarded request.
-
-// decide returns the limiter of an organisation as this proxy sees it, and the relay
-
-// through which to reach it. It returns no limiter while a candidate that did not answer is
-
-// being probed. since is the time from which the candidates before it have failed without a
-
-// break.
-
-// roleSince returns a time from which this proxy has had its role for every organisation
-
-// that it limits in this role now: no other proxy granted tokens since then, but for those
-
-// that holders report.
-
-// probe finds out whether a candidate can be reached directly or through another proxy. The
-
-// probe tells it which organisations this proxy limited in its place.
-
-// standInReport returns the organisations whose first candidate is vm and for which this
-
-// proxy stood in during the last window.
-
-// chooseRelays returns other proxies that answered lately or have not failed.
-
-// forward passes wants on to their limiter.
-
 // Answered handles the answer to a request, or its failure.
-
 func (n *Node) Answered(at entity.Time, id CallID, answer *Answer, ok bool) {
 	c, known := n.calls[id]
 	if !known {
@@ -312,15 +221,3 @@
 	}
 	n.poll(at)
 }
-
-// complete answers a request.
-
-// finishAsk deposits the granted tokens. The lease counts from the sending of the request.
-
-// Counters returns the operations of all organisations at this proxy, and the tokens that it
-
-// granted as a limiter.
-
-// Row describes an organisation at this proxy.
-
-// Rows returns up to limit rows, ordered by name.
--- a/core/quota/probing.go
+++ b/core/quota/probing.go
@@ -8,6 +8,8 @@
 
 // Probes of a limiter that does not answer.
 
+// probe finds out whether a candidate can be reached directly or through another proxy. The
+// probe tells it which organisations this proxy limited in its place.
 func (n *Node) probe(at entity.Time, vm entity.VM, p *peer) {
 	if p.probes > 0 {
 		return
@@ -20,6 +22,8 @@
 	}
 }
 
+// standInReport returns the organisations whose first candidate is vm and for which this
+// proxy stood in during the last window.
 func (n *Node) standInReport(at entity.Time, vm entity.VM) []Want {
 	var wants []Want
 	for name := range n.limiter.buckets {
@@ -31,6 +35,7 @@
 	return wants
 }
 
+// chooseRelays returns other proxies that answered lately or have not failed.
 func (n *Node) chooseRelays(at entity.Time, except entity.VM) []entity.VM {
 	var usable []entity.VM
 	for vm, p := range n.candidates.peers {
--- a/core/quota/serving.go
+++ b/core/quota/serving.go
@@ -9,6 +9,8 @@
 
 // A Node as a limiter: requests of holders, and the choice of the limiter.
 
+// forgetOthers drops the buckets of organisations whose first candidate this proxy no longer
+// is. If it becomes the first again, the bucket starts empty.
 func (n *Node) forgetOthers(at entity.Time) {
 	for name, b := range n.limiter.buckets {
 		ordered, settled := n.candidates.active(at, name, n.buffer)
@@ -19,6 +21,7 @@
 	}
 }
 
+// Receive handles a request of another proxy. A Reply follows.
 func (n *Node) Receive(at entity.Time, id ReplyID, request *Request) {
 	p := &pending{reply: id}
 	if request.Relay != "" && request.Relay != n.self {
@@ -30,6 +33,8 @@
 	n.serve(at, p, request)
 }
 
+// serve grants tokens or asks the limiter for them. After a pause of this proxy it may be the
+// first thing that runs, so it checks for one.
 func (n *Node) serve(at entity.Time, p *pending, request *Request) {
 	n.limiter.Tick(at)
 	n.recordNew(at, request.From, request.New)
@@ -56,6 +61,8 @@
 	}
 }
 
+// ping asks the candidates of an organisation that this proxy, which is new, knows nothing
+// of whether they are new as well.
 func (n *Node) ping(at entity.Time, name organisation.Name) {
 	for _, vm := range n.candidates.of(name) {
 		p := n.candidates.peers[vm]
@@ -67,6 +74,8 @@
 	}
 }
 
+// newCandidates returns this proxy, if it is new, and the new candidates of the organisations
+// of some wants.
 func (n *Node) newCandidates(at entity.Time, wants []Want) []NewProxy {
 	var found []NewProxy
 	add := func(vm entity.VM, until entity.Time) {
@@ -83,6 +92,7 @@
 	return found
 }
 
+// newUntil returns when this proxy no longer counts as new, 0 if it has no list yet.
 func (n *Node) newUntil() entity.Time {
 	if n.startedAt == 0 {
 		return 0
@@ -90,11 +100,16 @@
 	return n.startedAt.Add(newTime)
 }
 
+// readyAt returns the time from which this proxy may act as a limiter.
 func (n *Node) readyAt() entity.Time {
 	settled := min(n.candidates.grownAt.Add(settleTime), n.startedAt.Add(maxGrowth))
 	return max(n.startedAt.Add(minAge), settled)
 }
 
+// recordNew records new proxies that another one named. What it says of others only shortens
+// the time and counts only while it is long: otherwise the delays of messages add up, and
+// proxies that tell each other would count a third one as new forever. Messages that waited
+// while this proxy was paused do not count, since their times are of no use.
 func (n *Node) recordNew(at entity.Time, from entity.VM, proxies []NewProxy) {
 	if resumed := n.limiter.resumedAt; resumed != 0 && at.Sub(resumed) < lateMessages {
 		return
@@ -117,6 +132,7 @@
 	}
 }
 
+// serveWant grants tokens to one organisation, or adds it to a forwarded request.
 func (n *Node) serveWant(at entity.Time, p *pending, request *Request, i int, forwards []*call) []*call {
 	w, g := &request.Wants[i], &p.answer.Grants[i]
 	to, relay, r, since := n.decide(at, w.Name)
@@ -143,6 +159,10 @@
 	return forwards
 }
 
+// decide returns the limiter of an organisation as this proxy sees it, and the relay
+// through which to reach it. It returns no limiter while a candidate that did not answer is
+// being probed. since is the time from which the candidates before it have failed without a
+// break.
 func (n *Node) decide(at entity.Time, name organisation.Name) (to, relay entity.VM, r role, since entity.Time) {
 	ordered, settled := n.candidates.active(at, name, n.buffer)
 	n.buffer = ordered
@@ -171,6 +191,9 @@
 	return "", "", r, since
 }
 
+// roleSince returns a time from which this proxy has had its role for every organisation
+// that it limits in this role now: no other proxy granted tokens since then, but for those
+// that holders report.
 func (n *Node) roleSince(r role) entity.Time {
 	switch r {
 	case roleFirst:
@@ -197,6 +220,7 @@
 	return Grant{Tokens: tokens, RetryAfter: retryAfter, By: n.self}
 }
 
+// forward passes wants on to their limiter.
 func (n *Node) forward(at entity.Time, c *call, request *Request) {
 	passed := Request{From: n.self, Forwarded: true, Wants: make([]Want, len(c.wants))}
 	if c.to != c.target {
@@ -231,6 +255,7 @@
 	}
 }
 
+// complete answers a request.
 func (n *Node) complete(at entity.Time, p *pending, ok bool) {
 	p.answer.New = n.newCandidates(at, p.wants)
 	if p.local != nil {
