--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -69,8 +69,13 @@
 var proxyEvents = map[string]bool{
 	"store_lost": true, "store_regained": true, "store_failed": true, "document_in_force": true,
 	"proxies_changed": true, "shutdown_began": true, "shutdown_ended": true, "started": true, "requests_omitted": true,
+	"configuration_expired": true, "configuration_confirmed": true, "limiter_failed": true,
 }
 
+// organisationEvents are the events that can explain a request only if its own proxy logged
+// them about the request's organisation.
+var organisationEvents = map[string]bool{"quota_limited": true, "quota_unlimited": true}
+
 // Explain explains the last logged request with an id. It returns ErrUnknownRequest if no
 // line has the id.
 func Explain(log Log, id string) (Explanation, error) {
@@ -93,7 +98,8 @@
 		// A state change names the database group in its field database, a request in group.
 		ofDatabase := databaseEvents[line.Event()] && line.Fields["database"] == request.Fields["group"]
 		if ofDatabase && (line.Event() != "pool" || line.VM() == request.VM()) ||
-			proxyEvents[line.Event()] && line.VM() == request.VM() {
+			proxyEvents[line.Event()] && line.VM() == request.VM() ||
+			organisationEvents[line.Event()] && line.VM() == request.VM() && line.Fields["organisation"] == request.Fields["organisation"] {
 			e.Context = append(e.Context, line)
 		}
 	}
@@ -109,10 +115,9 @@
 	case "":
 		return "answered late: " + formatStages(request)
 	case "busy":
-		if request.Fields["lagged"] != "" {
-			return "not run: no replica held the floor " + formatFloor(request) + " and the primary had no free slot in time; " + formatStages(request) + change
-		}
-		return "not run: no slot of " + request.Fields["group"] + " was free in time; " + formatStages(request) + change
+		return causeOfRefusal(request, context) + change
+	case "unauthenticated":
+		return "not run: no organisation of configuration " + request.Fields["document"] + " holds the caller's key" + change
 	case "lagging":
 		return "not run: no upstream held the floor " + formatFloor(request) + change
 	case "in_doubt":
@@ -129,6 +134,38 @@
 	return request.Fields["code"] + ": " + request.Fields["reason"] + change
 }
 
+// Parts of the reasons that a proxy gives for refusing a request before it is queued.
+const (
+	quotaReason   = "quota of the organisation"
+	expiredReason = "configuration may be out of date"
+)
+
+// causeOfRefusal describes why a request was not run for lack of capacity or permission.
+func causeOfRefusal(request *Line, context []Line) string {
+	reason := request.Fields["reason"]
+	switch {
+	case strings.Contains(reason, quotaReason):
+		return "not run: the quota of " + request.Fields["organisation"] + " is used up" + formatQuota(request, context) +
+			"; waited " + request.Fields["took_ms"] + " ms for it"
+	case strings.Contains(reason, expiredReason):
+		return "not run: the proxy's configuration was not confirmed as current, so that keys cannot be verified"
+	case request.Fields["lagged"] != "":
+		return "not run: no replica held the floor " + formatFloor(request) + " and the primary had no free slot in time; " + formatStages(request)
+	}
+	return "not run: no slot of " + request.Fields["group"] + " was free in time; " + formatStages(request)
+}
+
+// formatQuota returns the quota and the limiter of the request's organisation as its proxy
+// last logged them.
+func formatQuota(request *Line, context []Line) string {
+	for i := len(context) - 1; i >= 0; i-- {
+		if l := &context[i]; l.Event() == "quota_limited" && !l.Time.After(request.Time) {
+			return fmt.Sprintf(" (%s/s, burst %s, limiter %s)", l.Fields["rate"], l.Fields["burst"], l.Fields["peer"])
+		}
+	}
+	return ""
+}
+
 // formatFloor returns the floor of a read: the minimum log position that it must see.
 func formatFloor(l *Line) string { return l.Fields["floor_term"] + "." + l.Fields["floor_offset"] }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -42,3 +42,24 @@
 	_, err = Explain(log, "x2")
 	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
 }
+
+// Guards against refusals for an organisation that are explained as a lack of slots, and
+// against a quota of another organisation in the explanation.
+func TestExplainOrganisations(t *testing.T) {
+	log, err := Read(strings.NewReader(`time="2026-12-04T05:00:01Z" event=quota_limited vm=a organisation=press rate=5 burst=2 peer=c
+time="2026-12-04T05:00:02Z" event=quota_limited vm=a organisation=bindery rate=9 burst=9 peer=d
+time="2026-12-04T05:00:03Z" event=request_failed vm=a id=x1 group=g organisation=press code=busy took_ms=40 reason="not run: quota of the organisation is used up; retry after 7 ms"
+time="2026-12-04T05:00:03Z" event=request_failed vm=a id=x2 group=g code=busy took_ms=0 reason="not run: the configuration may be out of date; retry after 600 ms"
+time="2026-12-04T05:00:03Z" event=request_failed vm=a id=x3 group=g document=7 code=unauthenticated took_ms=0 reason="not run: key is unknown"
+`))
+	assert.NilError(t, err)
+	for id, cause := range map[string]string{
+		"x1": "not run: the quota of press is used up (5/s, burst 2, limiter c); waited 40 ms for it",
+		"x2": "not run: the proxy's configuration was not confirmed as current, so that keys cannot be verified",
+		"x3": "not run: no organisation of configuration 7 holds the caller's key",
+	} {
+		e, err := Explain(log, id)
+		assert.NilError(t, err)
+		assert.Equal(t, e.Cause, cause)
+	}
+}
