Test of a cancelled query: send cancel requests once the first statement ran

The test sent its first cancel request together with the query, so that it could end the INSERT instead of pg_sleep on a busy machine. The transcript that is checked is unchanged.

--- a/internal/proxy/wire_test.go
+++ b/internal/proxy/wire_test.go
@@ -120,6 +120,10 @@
 		}
 	case "^":
 		s.send(c, m[3], false)
+		if strings.Contains(m[3], s.key) {
+			// A cancel request that arrives before the first statement ran ends that one.
+			s.runHook([]string{"awaitrow", s.key})
+		}
 		stop := s.cancelUntil(s.x, c)
 		for c.pendingReady > 0 {
 			s.readMessage(c)
