Log the epoch and the revision of the store at each listing and restore

New lines: store_listed with revision, epoch and contents; store_restored with the epoch and the revision applied until then; watcher_behind when a proxy is ahead of the watcher it polls.

A watcher reports its own revision and a follower that is ahead keeps its own; before, the watcher returned the follower's. Nothing else changes.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -351,10 +351,10 @@
 // Store is the platform's key-value store.
 type Store interface {
 	// List returns all entries and the revision at which they were read.
-	List(ctx context.Context) ([]Change, uint64, error)
+	List(ctx context.Context) ([]Change, Revision, error)
 	// Watch returns the changes after a revision, and the revision to continue from. It
 	// blocks until there is a change or until wait has passed.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
 	// Put writes a key if its current revision matches (0: if it does not exist) and
 	// returns the new revision. On any error other than ErrConflict, ErrLeaseExpired and
 	// ErrNotApplied the write may have been applied.
@@ -384,8 +384,9 @@
 // PeerChanges are store changes as served by another proxy.
 type PeerChanges struct {
 	Changes []Change
-	// Revision is the revision to continue from.
-	Revision uint64
+	// Revision is the revision up to which the other proxy has read the store. It may be
+	// lower than the caller's.
+	Revision Revision
 	// Age is the time from the instant up to which the changes are known to be complete to
 	// the answer, or UnknownAge.
 	Age time.Duration
@@ -399,7 +400,7 @@
 	// Changes returns the store changes after a revision from the proxy with the given
 	// address. If there are none it returns after wait. It returns ErrCompacted if that
 	// proxy no longer has them.
-	Changes(ctx context.Context, address string, after uint64, wait time.Duration) (PeerChanges, error)
+	Changes(ctx context.Context, address string, after Revision, wait time.Duration) (PeerChanges, error)
 }
 
 // Errors returned by Promoter.
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -223,6 +224,41 @@
 	e.stateChanged("store_regained", logrus.Fields{"after_ms": after.Milliseconds()})
 }
 
+// storeListed logs a listing of the store: its revision and what it shows.
+func (e *events) storeListed(at Revision, entries []Change) {
+	var version uint64
+	upstreams, proxies := 0, 0
+	for i := range entries {
+		switch c := &entries[i]; {
+		case c.Document != nil:
+			version = c.Document.Version
+		case c.Member != nil:
+			upstreams++
+		case strings.HasPrefix(c.Key, vmPrefix):
+			proxies++
+		}
+	}
+	e.stateChanged("store_listed", logrus.Fields{
+		"epoch": at.Epoch, "revision": at.Number, "document": version, "upstreams": upstreams, "proxies": proxies,
+	})
+}
+
+// storeRestored logs that the store went back to an earlier state, and the revision up to
+// which this proxy has applied its changes. source is the watcher whose answer showed it,
+// empty for the store.
+func (e *events) storeRestored(before, epoch uint64, applied Revision, source entity.VM) {
+	e.line("store_restored").WithFields(logrus.Fields{
+		"epoch_before": before, "epoch": epoch, "applied": applied.Number, "peer": source,
+	}).Warn("the store was restored from a backup")
+}
+
+// watcherBehind logs that a watcher has read less of the store than this proxy.
+func (e *events) watcherBehind(watcher entity.VM, applied, read Revision) {
+	e.rateLimited("watcher_behind", "follow_watcher", string(watcher), logrus.Fields{
+		"epoch": applied.Epoch, "applied": applied.Number, "watcher_epoch": read.Epoch, "watcher_revision": read.Number,
+	}, nil)
+}
+
 func (e *events) entryRefused(key string, err error) {
 	e.rateLimited("entry_refused", "decode", key, nil, err)
 }
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -28,8 +28,9 @@
 
 // ChangesResponse is the response body of ChangesPath.
 type ChangesResponse struct {
-	// Revision is the store revision up to which Entries are complete.
+	// Revision is the store revision up to which Entries are complete, Epoch its epoch.
 	Revision uint64 `json:"revision"`
+	Epoch    uint64 `json:"epoch,omitempty"`
 	// Entries are the changed entries as received from the store.
 	Entries []json.RawMessage `json:"entries"`
 	// Age is the time in milliseconds from the instant up to which Entries are complete to
@@ -90,7 +91,7 @@
 // update is an answer with the changes since the proxy's revision.
 type update struct {
 	changes  []Change
-	revision uint64
+	revision Revision
 	// sent is when the question was sent, age the age of the answer's confirmation: 0 for
 	// the store.
 	sent entity.Time
@@ -159,6 +160,10 @@
 	if err != nil {
 		return update{}, err
 	}
+	if answer.Revision.Number < s.revision.Number {
+		s.proxy.events.watcherBehind(watcher.VM, s.revision, answer.Revision)
+		answer.Revision.Number = s.revision.Number
+	}
 	return update{answer.Changes, answer.Revision, sent, answer.Age}, nil
 }
 
--- a/internal/managed/storecalls.go
+++ b/internal/managed/storecalls.go
@@ -53,13 +53,13 @@
 	return fields
 }
 
-func (s *countedStore) List(ctx context.Context) ([]Change, uint64, error) {
+func (s *countedStore) List(ctx context.Context) ([]Change, Revision, error) {
 	changes, revision, err := s.Store.List(ctx)
 	s.count(callList, err)
 	return changes, revision, err
 }
 
-func (s *countedStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *countedStore) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
 	changes, revision, err := s.Store.Watch(ctx, after, wait)
 	s.count(callWatch, err)
 	return changes, revision, err
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -106,9 +106,9 @@
 // proxies and takeover claims. It also keeps the proxy's own entry registered.
 type storeSync struct {
 	proxy *Proxy
-	// revision is the store revision up to which changes are applied, 0 if the store must
-	// be listed.
-	revision  uint64
+	// revision is the store revision up to which changes are applied, zero if the store
+	// must be listed.
+	revision  Revision
 	lostSince time.Time
 	// storeLost is set while the store does not answer.
 	storeLost atomic.Bool
@@ -130,6 +130,8 @@
 	source gateway.WatchSource
 	// startedAt is when the first listing was complete.
 	startedAt entity.Time
+	// epoch is the highest epoch of the store seen so far.
+	epoch uint64
 	// refusedRevision is the revision of the store's configuration if it could not be
 	// decoded, else 0. The configuration in force is older then, so nothing is confirmed.
 	refusedRevision uint64
@@ -166,7 +168,7 @@
 			return
 		}
 		if errors.Is(err, ErrCompacted) {
-			s.revision = 0
+			s.revision = Revision{}
 			continue
 		}
 		if s.lostSince.IsZero() {
@@ -188,13 +190,14 @@
 }
 
 func (s *storeSync) syncOnce(ctx context.Context) error {
-	if s.revision == 0 {
+	if s.revision == (Revision{}) {
 		return s.list(ctx)
 	}
 	u, err := s.nextChanges(ctx)
 	if err != nil {
 		return err
 	}
+	s.recordEpoch(u.revision.Epoch)
 	s.apply(u.changes)
 	s.revision = u.revision
 	s.confirm(u.sent, u.age)
@@ -204,6 +207,17 @@
 	return nil
 }
 
+// recordEpoch records the epoch of an answer and logs when the store was restored.
+func (s *storeSync) recordEpoch(epoch uint64) {
+	if epoch <= s.epoch {
+		return
+	}
+	if s.epoch != 0 {
+		s.proxy.events.storeRestored(s.epoch, epoch, s.revision, s.watcherName)
+	}
+	s.epoch = epoch
+}
+
 // coalescePerProxy and coalesceMax set the delay of the next watch after a change, so that
 // a burst of changes takes few calls to the store. Every proxy that watches makes these
 // calls, so the delay grows with the number of proxies. A single change is not delayed.
@@ -244,6 +258,8 @@
 	if err != nil {
 		return err
 	}
+	s.recordEpoch(revision.Epoch)
+	s.proxy.events.storeListed(revision, changes)
 	s.proxy.markUnlisted(changes)
 	s.apply(changes)
 	s.revision = revision
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -28,8 +28,9 @@
 	// watching is set while this proxy reads changes directly from the store.
 	watching bool
 	// completeAfter is the revision after which entries are complete; lastRevision is the
-	// revision up to which the store has been read.
+	// revision up to which the store has been read, in epoch.
 	completeAfter, lastRevision uint64
+	epoch                       uint64
 	entries                     []Change
 	bytes                       int
 	lastContact                 entity.Time
@@ -58,13 +59,13 @@
 
 // append adds the changes of a watch that was sent at the given time and covered the
 // revisions from (exclusive) to to (inclusive). After a gap the log starts anew.
-func (l *watchLog) append(from, to uint64, changes []Change, sent entity.Time) {
+func (l *watchLog) append(from, to Revision, changes []Change, sent entity.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.watching || l.lastRevision != from {
-		l.completeAfter, l.entries, l.bytes = from, nil, 0
+	if !l.watching || l.lastRevision != from.Number {
+		l.completeAfter, l.entries, l.bytes = from.Number, nil, 0
 	}
-	l.watching, l.lastRevision, l.lastContact = true, to, now()
+	l.watching, l.lastRevision, l.epoch, l.lastContact = true, to.Number, to.Epoch, now()
 	l.confirmation.Confirm(sent, 0)
 	for i := range changes {
 		l.entries = append(l.entries, changes[i])
@@ -102,7 +103,7 @@
 		return ChangesResponse{}, nil, ErrCompacted
 	}
 	answer := ChangesResponse{
-		Revision: max(after, l.lastRevision), Entries: []json.RawMessage{}, Age: ageMillis(l.confirmation.Age(now())),
+		Revision: l.lastRevision, Epoch: l.epoch, Entries: []json.RawMessage{}, Age: ageMillis(l.confirmation.Age(now())),
 	}
 	for i := range l.entries {
 		if l.entries[i].Revision > after {
