--- a/internal/managed/follower_test.go
+++ b/internal/managed/follower_test.go
@@ -69,3 +69,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, u.revision, revision(20))
 }
+
+// Guards against a follower that skips the changes of a restored store up to the revision that
+// it had reached before.
+func TestFollowerListsAgainWhenItsWatcherReadsARestoredStore(t *testing.T) {
+	watcher := newTestProxy(nil)
+	watcher.watchLog.append(Revision{Epoch: 2, Number: 10}, Revision{Epoch: 2, Number: 12}, nil, now())
+	s := newStoreSync(newTestProxy(&logPeers{log: watcher.watchLog}))
+	s.revision = Revision{Epoch: 1, Number: 20}
+	_, err := s.pollWatcher(context.Background(), gateway.Proxy{})
+	assert.ErrorIs(t, err, ErrCompacted)
+}
--- /dev/null
+++ b/internal/managed/restore_test.go
@@ -0,0 +1,117 @@
+package managed_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/platform"
+	"skylarkhinge.dev/skylarkhinge/platform/standin"
+)
+
+const (
+	// lostWrites is the number of writes that a restore loses.
+	lostWrites = 1000
+	// restoreOutage is the time for which the store is away before it is restored.
+	restoreOutage = 1500 * time.Millisecond
+	// watcherRetry is the time within which followers poll a watcher again that has refused.
+	watcherRetry = 4 * time.Second
+	// registrationLimit is the time within which a proxy must have registered again.
+	registrationLimit = 5 * time.Second
+)
+
+// writeUnrelated makes writes to the store that do not concern the proxies.
+func (f *fleet) writeUnrelated(count int) {
+	for i := range count {
+		f.store.Put(fmt.Sprintf("unrelated/%d", i), nil)
+	}
+}
+
+// restore makes the store unavailable, restores it from a backup, calls restored while the
+// store is still unavailable, and makes it available.
+func (f *fleet) restore(b *standin.Backup, restored func()) {
+	f.store.SetFault(standin.StoreUnavailable)
+	time.Sleep(restoreOutage)
+	f.store.Restore(b)
+	restored()
+	f.store.SetFault(standin.StoreHealthy)
+}
+
+// Guards against followers that miss changes because a restored store gives out revisions
+// again which they have already passed.
+func TestFollowersMissNoChangeAfterARestore(t *testing.T) {
+	f := newSharingFleet(t)
+	backup := f.store.Backup()
+	f.writeUnrelated(lostWrites)
+	time.Sleep(pollDuration)
+	followers := f.followers()
+	for _, n := range followers {
+		// The followers reach the restored store after their watchers.
+		f.store.RejectProxy(n.settings.VM)
+	}
+	f.restore(backup, func() {})
+	time.Sleep(watcherRetry)
+	for _, n := range followers {
+		f.store.AcceptProxy(n.settings.VM)
+	}
+	f.awaitRoute(documentLimit, f.nodes, f.addRoute())
+}
+
+// Guards against a watch that continues in the new history of a restored store and skips the
+// changes below its revision.
+func TestWatchMissesNoChangeAfterARestore(t *testing.T) {
+	f := newFleet(t, 3)
+	f.awaitListed(3)
+	backup := f.store.Backup()
+	f.writeUnrelated(lostWrites)
+	time.Sleep(pollDuration)
+	route := ""
+	f.restore(backup, func() {
+		route = f.addRoute()
+		f.writeUnrelated(2 * lostWrites)
+	})
+	f.awaitRoute(documentLimit, f.nodes, route)
+}
+
+// Guards against a proxy that renews a lease which a restored store gave to somebody else, and
+// is never listed again.
+func TestProxyRegistersAgainAfterARestore(t *testing.T) {
+	f := newFleet(t, 2)
+	f.awaitListed(2)
+	backup := f.store.Backup()
+	f.nodes = append(f.nodes, f.start(2))
+	f.awaitListed(3)
+	f.restore(backup, func() {})
+	other := platform.NewStoreClient(f.store.Address())
+	for range 100 {
+		_, err := other.GrantLease(context.Background(), time.Minute)
+		assert.NilError(t, err)
+	}
+	key := "skylarkhinge/vm/" + f.nodes[2].settings.VM
+	waitFor(t, registrationLimit, "the entry of the proxy", func() bool { return slices.Contains(f.store.Keys(key), key) })
+}
+
+// Guards against a primary that is not replaced because a restored store gives out fencing
+// tokens again which the platform has already seen.
+func TestPrimaryIsReplacedAfterARestore(t *testing.T) {
+	f := newFleet(t, 3)
+	f.awaitListed(3)
+	c := f.nodes[0].open(t, strictDB)
+	backup := f.store.Backup()
+	f.writeUnrelated(lostWrites)
+	old := f.group.Primary()
+	old.Crash()
+	f.awaitNewPrimary(old)
+	assert.NilError(t, old.Restart())
+	c.eventually(failoverLimit, "WRITE item kept")
+	f.restore(backup, func() {})
+	old = f.group.Primary()
+	old.Crash()
+	f.awaitNewPrimary(old)
+	c.eventually(failoverLimit, "WRITE item next")
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+}
