Store sync: list again when a watch is answered by a restored store

Callers got NODB for an added route, and older routes and upstreams stayed in use, until the next change. Cause: a watch continued from a revision of the old history as soon as the restored store had given out that number again, and skipped what was written below it. The order of changes was taken from revisions alone, which are ordered only within one epoch.

A watch now compares the epoch of the answer with that of its revision and returns ErrRestored, an ErrCompacted, so that the proxy lists the store. A listing whose pages are of two epochs is repeated.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -312,6 +312,9 @@
 	// ErrCompacted means that changes after the requested revision are no longer available:
 	// the watcher must list again.
 	ErrCompacted = errors.New("history is no longer available")
+	// ErrRestored is an ErrCompacted: the store was restored from a backup, and the requested
+	// revision is of an earlier epoch.
+	ErrRestored = fmt.Errorf("%w: the store was restored from a backup", ErrCompacted)
 	// ErrNotApplied means that the request was refused and had no effect.
 	ErrNotApplied = errors.New("the call was refused")
 )
@@ -350,10 +353,12 @@
 
 // Store is the platform's key-value store.
 type Store interface {
-	// List returns all entries and the revision at which they were read.
+	// List returns all entries and the revision at which they were read. It returns
+	// ErrRestored if the store was restored while it was read.
 	List(ctx context.Context) ([]Change, Revision, error)
 	// Watch returns the changes after a revision, and the revision to continue from. It
-	// blocks until there is a change or until wait has passed.
+	// blocks until there is a change or until wait has passed. It returns ErrRestored if the
+	// revision is of another epoch than the answer.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
 	// Put writes a key if its current revision matches (0: if it does not exist) and
 	// returns the new revision. On any error other than ErrConflict, ErrLeaseExpired and
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -243,12 +243,11 @@
 	})
 }
 
-// storeRestored logs that the store went back to an earlier state, and the revision up to
-// which this proxy has applied its changes. source is the watcher whose answer showed it,
-// empty for the store.
-func (e *events) storeRestored(before, epoch uint64, applied Revision, source entity.VM) {
+// storeRestored logs that the store went back to an earlier state, with the revision up to
+// which this proxy had applied its changes and the one of the new listing.
+func (e *events) storeRestored(applied, listed Revision) {
 	e.line("store_restored").WithFields(logrus.Fields{
-		"epoch_before": before, "epoch": epoch, "applied": applied.Number, "peer": source,
+		"epoch_before": applied.Epoch, "applied": applied.Number, "epoch": listed.Epoch, "revision": listed.Number,
 	}).Warn("the store was restored from a backup")
 }
 
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -106,9 +106,11 @@
 // proxies and takeover claims. It also keeps the proxy's own entry registered.
 type storeSync struct {
 	proxy *Proxy
-	// revision is the store revision up to which changes are applied, zero if the store
-	// must be listed.
-	revision  Revision
+	// revision is the store revision up to which changes are applied.
+	revision Revision
+	// mustList is set while the store must be listed, since its changes after revision are not
+	// available.
+	mustList  bool
 	lostSince time.Time
 	// storeLost is set while the store does not answer.
 	storeLost atomic.Bool
@@ -130,15 +132,13 @@
 	source gateway.WatchSource
 	// startedAt is when the first listing was complete.
 	startedAt entity.Time
-	// epoch is the highest epoch of the store seen so far.
-	epoch uint64
 	// refusedRevision is the revision of the store's configuration if it could not be
 	// decoded, else 0. The configuration in force is older then, so nothing is confirmed.
 	refusedRevision uint64
 }
 
 func newStoreSync(p *Proxy) *storeSync {
-	return &storeSync{proxy: p, reregister: make(chan struct{}, 1), listed: make(chan struct{})}
+	return &storeSync{proxy: p, mustList: true, reregister: make(chan struct{}, 1), listed: make(chan struct{})}
 }
 
 func (s *storeSync) run(ctx context.Context) {
@@ -168,7 +168,7 @@
 			return
 		}
 		if errors.Is(err, ErrCompacted) {
-			s.revision = Revision{}
+			s.mustList = true
 			continue
 		}
 		if s.lostSince.IsZero() {
@@ -190,14 +190,13 @@
 }
 
 func (s *storeSync) syncOnce(ctx context.Context) error {
-	if s.revision == (Revision{}) {
+	if s.mustList {
 		return s.list(ctx)
 	}
 	u, err := s.nextChanges(ctx)
 	if err != nil {
 		return err
 	}
-	s.recordEpoch(u.revision.Epoch)
 	s.apply(u.changes)
 	s.revision = u.revision
 	s.confirm(u.sent, u.age)
@@ -207,17 +206,6 @@
 	return nil
 }
 
-// recordEpoch records the epoch of an answer and logs when the store was restored.
-func (s *storeSync) recordEpoch(epoch uint64) {
-	if epoch <= s.epoch {
-		return
-	}
-	if s.epoch != 0 {
-		s.proxy.events.storeRestored(s.epoch, epoch, s.revision, s.watcherName)
-	}
-	s.epoch = epoch
-}
-
 // coalescePerProxy and coalesceMax set the delay of the next watch after a change, so that
 // a burst of changes takes few calls to the store. Every proxy that watches makes these
 // calls, so the delay grows with the number of proxies. A single change is not delayed.
@@ -258,11 +246,13 @@
 	if err != nil {
 		return err
 	}
-	s.recordEpoch(revision.Epoch)
+	if revision.Epoch != s.revision.Epoch && s.revision != (Revision{}) {
+		s.proxy.events.storeRestored(s.revision, revision)
+	}
 	s.proxy.events.storeListed(revision, changes)
 	s.proxy.markUnlisted(changes)
 	s.apply(changes)
-	s.revision = revision
+	s.revision, s.mustList = revision, false
 	s.confirm(sent, 0)
 	if s.startedAt == 0 {
 		// A proxy that cannot register serves its callers as well.
