Followers list the store again when their watcher reads a restored one

Cause: a follower asks its watcher for the changes after its own revision. The watcher listed the restored store and went back to a lower revision; it answered the follower, which was ahead, with no changes until the new revisions had passed the old one. gulf-b-2 stayed at revision 133 while its watcher read on from 114.

Polls and their answers carry the epoch. A watcher answers a poll of another epoch at once. A follower that is behind lists the store; one that is ahead leaves the watcher alone.

--- a/internal/managed/follower_test.go
+++ b/internal/managed/follower_test.go
@@ -22,7 +22,7 @@
 }
 
 func (p *logPeers) Changes(ctx context.Context, _ string, after Revision, wait time.Duration) (PeerChanges, error) {
-	answer, err := p.log.waitForChanges(ctx, after.Number, wait)
+	answer, err := p.log.waitForChanges(ctx, after, wait)
 	if err != nil {
 		return PeerChanges{}, err
 	}
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -45,13 +45,22 @@
 }
 
 // ServeChanges answers a poll of another proxy. It waits for a change, up to the time in
-// the parameter wait_ms but at most pollWait, which is also the default.
+// the parameter wait_ms but at most pollWait, which is also the default. It answers at once
+// if the parameter epoch is not that of its own revision. Proxies of earlier versions do not
+// send one.
 func (p *Proxy) ServeChanges(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
-	if err != nil {
+	var after Revision
+	var err error
+	if after.Number, err = strconv.ParseUint(r.FormValue("after"), 10, 64); err != nil {
 		http.Error(w, "after is not a revision", http.StatusBadRequest)
 		return
 	}
+	if text := r.FormValue("epoch"); text != "" {
+		if after.Epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
+			http.Error(w, "epoch is not a number", http.StatusBadRequest)
+			return
+		}
+	}
 	wait := pollWait
 	if text := r.FormValue("wait_ms"); text != "" {
 		count, err := strconv.ParseUint(text, 10, 32)
@@ -111,7 +120,7 @@
 		}
 		s.setWatcher(watcher.VM)
 		u, err := s.pollWatcher(ctx, watcher)
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || errors.Is(err, ErrRestored) {
 			s.source.RecordAnswer(watcher.VM)
 			return u, err
 		}
@@ -151,6 +160,12 @@
 	s.proxy.events.watcherChanged(watcher)
 }
 
+// errEarlierEpoch is returned for the answer of a watcher that has not noticed yet that the
+// store was restored.
+var errEarlierEpoch = errors.New("the watcher has not read the restored store")
+
+// pollWatcher waits for changes from a watcher. It returns ErrRestored if the watcher reads a
+// later epoch of the store than this proxy.
 func (s *storeSync) pollWatcher(ctx context.Context, watcher gateway.Proxy) (update, error) {
 	sent := now()
 	wait := s.waitForPoll(sent)
@@ -160,6 +175,15 @@
 	if err != nil {
 		return update{}, err
 	}
+	read := answer.Revision.Epoch
+	switch {
+	case read == 0 || read == s.revision.Epoch:
+		answer.Revision.Epoch = s.revision.Epoch
+	case read > s.revision.Epoch:
+		return update{}, ErrRestored
+	default:
+		return update{}, errEarlierEpoch
+	}
 	if answer.Revision.Number < s.revision.Number {
 		s.proxy.events.watcherBehind(watcher.VM, s.revision, answer.Revision)
 		answer.Revision.Number = s.revision.Number
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -27,13 +27,13 @@
 	mu sync.Mutex
 	// watching is set while this proxy reads changes directly from the store.
 	watching bool
-	// completeAfter is the revision after which entries are complete; lastRevision is the
-	// revision up to which the store has been read, in epoch.
-	completeAfter, lastRevision uint64
-	epoch                       uint64
-	entries                     []Change
-	bytes                       int
-	lastContact                 entity.Time
+	// completeAfter is the revision number after which entries are complete; lastRevision is
+	// the revision up to which the store has been read. Both are of the same epoch.
+	completeAfter uint64
+	lastRevision  Revision
+	entries       []Change
+	bytes         int
+	lastContact   entity.Time
 	// confirmation is the instant up to which the log is known to be complete. It differs
 	// from the age of the proxy's configuration, which other proxies can confirm as well.
 	confirmation revocation.Clock
@@ -62,10 +62,10 @@
 func (l *watchLog) append(from, to Revision, changes []Change, sent entity.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.watching || l.lastRevision != from.Number {
+	if !l.watching || l.lastRevision != from {
 		l.completeAfter, l.entries, l.bytes = from.Number, nil, 0
 	}
-	l.watching, l.lastRevision, l.epoch, l.lastContact = true, to.Number, to.Epoch, now()
+	l.watching, l.lastRevision, l.lastContact = true, to, now()
 	l.confirmation.Confirm(sent, 0)
 	for i := range changes {
 		l.entries = append(l.entries, changes[i])
@@ -92,21 +92,26 @@
 var errNotWatching = errors.New("the proxy does not watch the store")
 
 // changesSince returns the changes after a revision. If there are none it also returns a
-// channel that is closed when the next one arrives.
-func (l *watchLog) changesSince(after uint64) (ChangesResponse, <-chan struct{}, error) {
+// channel that is closed when the next one arrives. It returns no changes and no channel if
+// the revision is of another epoch than the log; a revision without epoch is of any.
+func (l *watchLog) changesSince(after Revision) (ChangesResponse, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case !l.watching || now().Sub(l.lastContact) > maxContactAge:
 		return ChangesResponse{}, nil, errNotWatching
-	case after < l.completeAfter:
-		return ChangesResponse{}, nil, ErrCompacted
 	}
 	answer := ChangesResponse{
-		Revision: l.lastRevision, Epoch: l.epoch, Entries: []json.RawMessage{}, Age: ageMillis(l.confirmation.Age(now())),
+		Revision: l.lastRevision.Number, Epoch: l.lastRevision.Epoch, Entries: []json.RawMessage{}, Age: ageMillis(l.confirmation.Age(now())),
+	}
+	switch {
+	case after.Epoch != 0 && after.Epoch != answer.Epoch:
+		return answer, nil, nil
+	case after.Number < l.completeAfter:
+		return ChangesResponse{}, nil, ErrCompacted
 	}
 	for i := range l.entries {
-		if l.entries[i].Revision > after {
+		if l.entries[i].Revision > after.Number {
 			answer.Entries = append(answer.Entries, l.entries[i].Source)
 		}
 	}
@@ -116,9 +121,9 @@
 	return answer, l.changed, nil
 }
 
-// waitForChanges returns the changes after a revision, waiting up to limit for the first
-// one.
-func (l *watchLog) waitForChanges(ctx context.Context, after uint64, limit time.Duration) (ChangesResponse, error) {
+// waitForChanges returns what changesSince returns, waiting up to limit for the first
+// change.
+func (l *watchLog) waitForChanges(ctx context.Context, after Revision, limit time.Duration) (ChangesResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
--- a/internal/managed/watchlog_test.go
+++ b/internal/managed/watchlog_test.go
@@ -24,35 +24,35 @@
 // from a gap, or beyond the size limit.
 func TestWatchLogIsComplete(t *testing.T) {
 	l := newWatchLog()
-	_, _, err := l.changesSince(0)
+	_, _, err := l.changesSince(revision(0))
 	assert.Assert(t, errors.Is(err, errNotWatching))
 
 	l.append(revision(10), revision(12), changesAt(11, 12), now())
-	answer, _, err := l.changesSince(10)
+	answer, _, err := l.changesSince(revision(10))
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 2)
 	assert.Equal(t, answer.Revision, uint64(12))
-	answer, _, err = l.changesSince(11)
+	answer, _, err = l.changesSince(revision(11))
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 1)
-	_, _, err = l.changesSince(9)
+	_, _, err = l.changesSince(revision(9))
 	assert.Assert(t, errors.Is(err, ErrCompacted))
-	answer, changed, err := l.changesSince(20) // a follower that is ahead
+	answer, changed, err := l.changesSince(revision(20)) // a follower that is ahead
 	assert.NilError(t, err)
 	assert.Assert(t, changed != nil)
 	assert.Equal(t, answer.Revision, uint64(12))
 
 	l.append(revision(15), revision(16), changesAt(16), now())
-	_, _, err = l.changesSince(12)
+	_, _, err = l.changesSince(revision(12))
 	assert.Assert(t, errors.Is(err, ErrCompacted))
 
 	for r := uint64(16); r < 16+2*maxLogEntries; r++ {
 		l.append(revision(r), revision(r+1), changesAt(r+1), now())
 	}
 	assert.Equal(t, len(l.entries), maxLogEntries)
-	_, _, err = l.changesSince(16)
+	_, _, err = l.changesSince(revision(16))
 	assert.Assert(t, errors.Is(err, ErrCompacted))
-	answer, _, err = l.changesSince(l.completeAfter)
+	answer, _, err = l.changesSince(revision(l.completeAfter))
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), maxLogEntries)
 }
@@ -63,15 +63,15 @@
 	l := newWatchLog()
 	l.append(revision(1), revision(2), changesAt(2), now())
 	l.lastContact = now().Add(-maxContactAge - time.Millisecond)
-	_, _, err := l.changesSince(1)
+	_, _, err := l.changesSince(revision(1))
 	assert.Assert(t, errors.Is(err, errNotWatching))
 	l.recordContact()
-	_, _, err = l.changesSince(1)
+	_, _, err = l.changesSince(revision(1))
 	assert.NilError(t, err)
 
 	ended := make(chan error, 1)
 	go func() {
-		_, err := l.waitForChanges(context.Background(), 2, time.Minute)
+		_, err := l.waitForChanges(context.Background(), revision(2), time.Minute)
 		ended <- err
 	}()
 	time.Sleep(20 * time.Millisecond)
@@ -88,11 +88,11 @@
 		time.Sleep(20 * time.Millisecond)
 		l.append(revision(2), revision(3), changesAt(3), now())
 	}()
-	answer, err := l.waitForChanges(context.Background(), 2, time.Minute)
+	answer, err := l.waitForChanges(context.Background(), revision(2), time.Minute)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 1)
 	assert.Assert(t, time.Since(began) < 10*time.Second)
-	answer, err = l.waitForChanges(context.Background(), 3, 10*time.Millisecond)
+	answer, err = l.waitForChanges(context.Background(), revision(3), 10*time.Millisecond)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 0)
 }
