Leases end with the epoch of the store

After a restore a proxy could renew, or end, a lease that the store had given to somebody else: it believed that it was registered, the other proxies did not list it, and the holder's keys could be removed. Cause: a lease was known by its number, which a restored store gives out again.

A lease now carries its epoch. Renewing one of an earlier epoch reports that it has ended, ending one does nothing, and a write with it is not trusted. The client keeps the highest epoch of all answers, error statuses included, so that a renewal also shows a proxy without a watch that the store was restored: it lists the store again.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -360,19 +360,23 @@
 	// blocks until there is a change or until wait has passed. It returns ErrRestored if the
 	// revision is of another epoch than the answer.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
-	// Put writes a key if its current revision matches (0: if it does not exist) and
-	// returns the new revision. On any error other than ErrConflict, ErrLeaseExpired and
-	// ErrNotApplied the write may have been applied.
-	Put(ctx context.Context, key string, value []byte, revision uint64, lease uint64) (uint64, error)
+	// Put writes a key if the number of its current revision matches (0: if it does not
+	// exist) and returns the new number. On any error other than ErrConflict and
+	// ErrNotApplied the write may have been applied, with ErrLeaseExpired only if the store
+	// was restored during the call.
+	Put(ctx context.Context, key string, value []byte, revision uint64, lease Lease) (uint64, error)
 	// Get returns a key's value and revision; the revision is 0 if the key does not exist.
 	Get(ctx context.Context, key string) (value []byte, revision uint64, err error)
 	// GrantLease creates a lease. Keys attached to it are removed when it ends.
-	GrantLease(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
 	// RenewLease extends a lease by its full TTL. It returns ErrLeaseExpired if the lease no
-	// longer exists.
-	RenewLease(ctx context.Context, lease uint64) error
-	// RevokeLease ends a lease and removes its keys.
-	RevokeLease(ctx context.Context, lease uint64) error
+	// longer exists or is of an earlier epoch.
+	RenewLease(ctx context.Context, lease Lease) error
+	// RevokeLease ends a lease and removes its keys. It does nothing for a lease of an earlier
+	// epoch.
+	RevokeLease(ctx context.Context, lease Lease) error
+	// Epoch returns the highest epoch in an answer to any call so far.
+	Epoch() uint64
 }
 
 // UnknownAge is the age of an answer of a proxy that does not report one.
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -35,7 +35,7 @@
 type claim struct {
 	proxy *Proxy
 	key   string
-	lease uint64
+	lease Lease
 	fence uint64
 	// validUntil is the earliest time at which another proxy may acquire the claim.
 	validUntil entity.Time
--- a/internal/managed/revision.go
+++ b/internal/managed/revision.go
@@ -7,3 +7,9 @@
 	// Epoch is 0 for a store that does not report one.
 	Epoch, Number uint64
 }
+
+// Lease is a lease of the store. A restored store has forgotten the leases granted since the
+// backup and may give their IDs to other holders, so a lease ends with its epoch.
+type Lease struct {
+	Epoch, ID uint64
+}
--- a/internal/managed/storecalls.go
+++ b/internal/managed/storecalls.go
@@ -65,7 +65,7 @@
 	return changes, revision, err
 }
 
-func (s *countedStore) Put(ctx context.Context, key string, value []byte, revision uint64, lease uint64) (uint64, error) {
+func (s *countedStore) Put(ctx context.Context, key string, value []byte, revision uint64, lease Lease) (uint64, error) {
 	written, err := s.Store.Put(ctx, key, value, revision, lease)
 	s.count(callPut, err)
 	return written, err
@@ -77,19 +77,19 @@
 	return value, revision, err
 }
 
-func (s *countedStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
+func (s *countedStore) GrantLease(ctx context.Context, ttl time.Duration) (Lease, error) {
 	lease, err := s.Store.GrantLease(ctx, ttl)
 	s.count(callGrantLease, err)
 	return lease, err
 }
 
-func (s *countedStore) RenewLease(ctx context.Context, lease uint64) error {
+func (s *countedStore) RenewLease(ctx context.Context, lease Lease) error {
 	err := s.Store.RenewLease(ctx, lease)
 	s.count(callRenewLease, err)
 	return err
 }
 
-func (s *countedStore) RevokeLease(ctx context.Context, lease uint64) error {
+func (s *countedStore) RevokeLease(ctx context.Context, lease Lease) error {
 	err := s.Store.RevokeLease(ctx, lease)
 	s.count(callRevokeLease, err)
 	return err
--- a/internal/managed/storecalls_test.go
+++ b/internal/managed/storecalls_test.go
@@ -15,7 +15,7 @@
 	gets int
 }
 
-func (s *conflictingStore) Put(_ context.Context, _ string, _ []byte, revision, _ uint64) (uint64, error) {
+func (s *conflictingStore) Put(_ context.Context, _ string, _ []byte, revision uint64, _ Lease) (uint64, error) {
 	if revision == 7 {
 		return 8, nil
 	}
@@ -46,7 +46,7 @@
 func TestStoreCallsAreCounted(t *testing.T) {
 	store := &countedStore{Store: &conflictingStore{err: ErrConflict}}
 	assert.Assert(t, store.logFields() == nil)
-	_, err := store.Put(t.Context(), "vm/a", nil, 1, 0)
+	_, err := store.Put(t.Context(), "vm/a", nil, 1, Lease{})
 	assert.ErrorIs(t, err, ErrConflict)
 	_, _, err = store.Get(t.Context(), "vm/a")
 	assert.NilError(t, err)
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -114,7 +114,7 @@
 	lostSince time.Time
 	// storeLost is set while the store does not answer.
 	storeLost atomic.Bool
-	lease     uint64
+	lease     Lease
 	// renewalFails is set while the renewal of the lease fails. The store gets no other calls
 	// then: a renewal costs a tenth of a watch.
 	renewalFails atomic.Bool
@@ -190,7 +190,7 @@
 }
 
 func (s *storeSync) syncOnce(ctx context.Context) error {
-	if s.mustList {
+	if s.mustList || s.proxy.options.Store.Epoch() != s.revision.Epoch {
 		return s.list(ctx)
 	}
 	u, err := s.nextChanges(ctx)
@@ -375,7 +375,7 @@
 		if err := s.registerOrRenew(ctx, listed); err != nil {
 			if errors.Is(err, ErrLeaseExpired) {
 				// The entry has ended with the lease.
-				s.lease, listed = 0, false
+				s.lease, listed = Lease{}, false
 				s.ownRevision.Store(0)
 			}
 			// The entry exists as long as its lease, so a failed renewal is repeated: it costs a
@@ -406,7 +406,7 @@
 		}
 		return err
 	}
-	if s.lease == 0 {
+	if s.lease == (Lease{}) {
 		lease, err := store.GrantLease(ctx, vmTTL)
 		if err != nil {
 			return err
@@ -444,7 +444,7 @@
 
 // unregister revokes the lease, which frees the proxy's share of connections at once.
 func (s *storeSync) unregister() {
-	if s.lease == 0 {
+	if s.lease == (Lease{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin)
