Claims and fencing tokens hold across a restore of the store

Writes could fail for minutes after a restore: the platform refused every promotion. Cause: the fencing token of a takeover was the revision of the claim's key, and a restored store gives out lower revisions. A claim of the lost seconds was also forgotten while its holder still used it, so that another proxy could promote at the same time.

A token now consists of the epoch and the revision and increases across restores. No claim is acquired within the lease time of a claim after this proxy first listed the restored store, nor by a proxy that has not listed it. A claim of an earlier epoch, whose key may remain in the restored store, is not held. A listing without the claim of a database schedules the check for abandoned pauses, as the removal of the key does.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -365,8 +365,8 @@
 	// ErrNotApplied the write may have been applied, with ErrLeaseExpired only if the store
 	// was restored during the call.
 	Put(ctx context.Context, key string, value []byte, revision uint64, lease Lease) (uint64, error)
-	// Get returns a key's value and revision; the revision is 0 if the key does not exist.
-	Get(ctx context.Context, key string) (value []byte, revision uint64, err error)
+	// Get returns a key's value and revision; its number is 0 if the key does not exist.
+	Get(ctx context.Context, key string) (value []byte, revision Revision, err error)
 	// GrantLease creates a lease. Keys attached to it are removed when it ends.
 	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
 	// RenewLease extends a lease by its full TTL. It returns ErrLeaseExpired if the lease no
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -25,18 +25,27 @@
 // claimRecord is the stored value of a claim.
 type claimRecord struct {
 	Holder string `json:"holder"`
-	// revision is the key's revision, 0 if the key does not exist.
-	revision uint64
+	// Epoch is the epoch of the lease, 0 if an earlier version of the proxy wrote it.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// revision is the key's revision; its number is 0 if the key does not exist.
+	revision Revision
+}
+
+// held reports whether the claim is held. The key of a claim whose lease ended with an epoch
+// may remain in the restored store.
+func (r claimRecord) held() bool {
+	return r.revision.Number != 0 && (r.Epoch == 0 || r.Epoch == r.revision.Epoch)
 }
 
 // claim is a takeover claim held by this proxy: a leased key that allows one proxy at a
-// time to promote in a database. Its fencing token is the revision of the last write of the
-// key. Revisions only increase, so no two claims have the same token.
+// time to promote in a database. Its fencing token follows from the revision of the last write
+// of the key, so no two claims have the same token.
 type claim struct {
 	proxy *Proxy
 	key   string
 	lease Lease
-	fence uint64
+	// revision is the key's revision.
+	revision Revision
 	// validUntil is the earliest time at which another proxy may acquire the claim.
 	validUntil entity.Time
 }
@@ -44,22 +53,27 @@
 var errClaimHeld = errors.New("another proxy holds the claim")
 
 // claimTakeover acquires the claim of a database. It returns errClaimHeld if another proxy
-// holds it.
+// holds it, or may hold one that a restore of the store lost.
 func (p *Proxy) claimTakeover(d *database) (*claim, error) {
 	d.mu.Lock()
 	current := d.claim
 	d.mu.Unlock()
-	if current.revision != 0 && current.Holder != p.settings().VM {
+	at := now()
+	epoch := p.storeEpoch.Load()
+	if epoch == nil || at.Sub(epoch.at) < claimTTL || current.held() && current.Holder != p.settings().VM {
 		return nil, errClaimHeld
 	}
-	at := now()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	lease, err := p.options.Store.GrantLease(ctx, claimTTL)
 	if err != nil {
 		return nil, err
 	}
-	c := &claim{proxy: p, key: claimPrefix + string(d.name), lease: lease, fence: current.revision, validUntil: at.Add(claimTTL)}
+	c := &claim{proxy: p, key: claimPrefix + string(d.name), lease: lease, revision: current.revision, validUntil: at.Add(claimTTL)}
+	if lease.Epoch != epoch.epoch {
+		c.release()
+		return nil, errClaimHeld
+	}
 	if err := c.writeKey(); err != nil {
 		c.release()
 		if errors.Is(err, ErrConflict) {
@@ -71,19 +85,22 @@
 	return c, nil
 }
 
-// writeKey rewrites the key and uses the new revision as the fencing token.
+// fence returns the fencing token of the claim.
+func (c *claim) fence() uint64 { return c.revision.FencingToken() }
+
+// writeKey rewrites the key, which changes the fencing token.
 func (c *claim) writeKey() error {
-	value, err := json.Marshal(claimRecord{Holder: c.proxy.settings().VM})
+	value, err := json.Marshal(claimRecord{Holder: c.proxy.settings().VM, Epoch: c.lease.Epoch})
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	revision, err := c.proxy.options.Store.Put(ctx, c.key, value, c.fence, c.lease)
+	revision, err := c.proxy.options.Store.Put(ctx, c.key, value, c.revision.Number, c.lease)
 	if err != nil {
 		return err
 	}
-	c.fence = revision
+	c.revision = Revision{c.lease.Epoch, revision}
 	return nil
 }
 
@@ -121,11 +138,11 @@
 		d.proxy.events.storeFailed("read_claim", err)
 		return
 	}
-	d.applyClaim(value, revision, revision == 0)
+	d.applyClaim(value, revision, revision.Number == 0)
 }
 
 // applyClaim records the claim stored for the database.
-func (d *database) applyClaim(value []byte, revision uint64, removed bool) {
+func (d *database) applyClaim(value []byte, revision Revision, removed bool) {
 	var record claimRecord
 	if !removed {
 		if err := json.Unmarshal(value, &record); err != nil {
@@ -135,7 +152,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.claim.revision != 0 && record.revision == 0 {
+	if d.claim.held() && !record.held() {
 		d.monitor.schedulePauseCheck()
 	}
 	d.claim = record
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -69,9 +69,7 @@
 	}
 	for name, d := range p.databases {
 		if !keys[claimPrefix+string(name)] {
-			d.mu.Lock()
-			d.claim = claimRecord{}
-			d.mu.Unlock()
+			d.applyClaim(nil, Revision{}, true)
 		}
 	}
 }
--- a/internal/managed/idlecheck.go
+++ b/internal/managed/idlecheck.go
@@ -84,7 +84,7 @@
 func (mon *monitor) findAbandonedPauses(primary *member) {
 	d := mon.db
 	d.mu.Lock()
-	claimed := d.claim.revision != 0
+	claimed := d.claim.held()
 	d.mu.Unlock()
 	if claimed {
 		return
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -64,6 +64,8 @@
 	fleetKnown atomic.Bool
 	// firstListingDone is set once the entries of the first listing have been applied.
 	firstListingDone atomic.Bool
+	// storeEpoch is the epoch of the store that is applied, nil before the first listing.
+	storeEpoch atomic.Pointer[epochStart]
 	// drainStarted is closed when the shutdown begins.
 	drainStarted chan struct{}
 
--- a/internal/managed/revision.go
+++ b/internal/managed/revision.go
@@ -1,5 +1,7 @@
 package managed
 
+import "skylarkhinge.dev/skylarkhinge/core/entity"
+
 // Revision is a point in the history of the store. Number increases with each write. When
 // the store is restored from a backup, Number goes back and is given out again, and Epoch
 // increases: only revisions of the same epoch can be compared.
@@ -8,6 +10,20 @@
 	Epoch, Number uint64
 }
 
+// fencingNumberBits is the number of bits of a fencing token that hold the number of the
+// revision. 40 bits last for 10 years of 3,200 writes a second.
+const fencingNumberBits = 40
+
+// FencingToken returns a number that increases from revision to revision, also when the store
+// is restored.
+func (r Revision) FencingToken() uint64 { return r.Epoch<<fencingNumberBits + r.Number }
+
+// epochStart is the first listing of an epoch of the store by this proxy.
+type epochStart struct {
+	epoch uint64
+	at    entity.Time
+}
+
 // Lease is a lease of the store. A restored store has forgotten the leases granted since the
 // backup and may give their IDs to other holders, so a lease ends with its epoch.
 type Lease struct {
--- a/internal/managed/storecalls.go
+++ b/internal/managed/storecalls.go
@@ -71,7 +71,7 @@
 	return written, err
 }
 
-func (s *countedStore) Get(ctx context.Context, key string) ([]byte, uint64, error) {
+func (s *countedStore) Get(ctx context.Context, key string) ([]byte, Revision, error) {
 	value, revision, err := s.Store.Get(ctx, key)
 	s.count(callGet, err)
 	return value, revision, err
--- a/internal/managed/storecalls_test.go
+++ b/internal/managed/storecalls_test.go
@@ -22,9 +22,9 @@
 	return 0, s.err
 }
 
-func (s *conflictingStore) Get(context.Context, string) ([]byte, uint64, error) {
+func (s *conflictingStore) Get(context.Context, string) ([]byte, Revision, error) {
 	s.gets++
-	return nil, 7, nil
+	return nil, Revision{Number: 7}, nil
 }
 
 // Guards against a call to the store for a revision that the refusal has told.
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	s.apply(u.changes)
+	s.apply(u.changes, u.revision.Epoch)
 	s.revision = u.revision
 	s.confirm(u.sent, u.age)
 	if len(u.changes) > 0 && s.watcherName == "" {
@@ -246,12 +246,10 @@
 	if err != nil {
 		return err
 	}
-	if revision.Epoch != s.revision.Epoch && s.revision != (Revision{}) {
-		s.proxy.events.storeRestored(s.revision, revision)
-	}
+	s.recordEpoch(revision)
 	s.proxy.events.storeListed(revision, changes)
 	s.proxy.markUnlisted(changes)
-	s.apply(changes)
+	s.apply(changes, revision.Epoch)
 	s.revision, s.mustList = revision, false
 	s.confirm(sent, 0)
 	if s.startedAt == 0 {
@@ -269,11 +267,23 @@
 	return nil
 }
 
+// recordEpoch records the epoch of a listing.
+func (s *storeSync) recordEpoch(listed Revision) {
+	if before := s.proxy.storeEpoch.Load(); before != nil && before.epoch == listed.Epoch {
+		return
+	}
+	if s.revision != (Revision{}) {
+		s.proxy.events.storeRestored(s.revision, listed)
+	}
+	s.proxy.storeEpoch.Store(&epochStart{listed.Epoch, now()})
+}
+
 // maxFleetUnknown bounds the time after the first listing until this proxy acts as a gateway
 // although it has not seen its own entry.
 const maxFleetUnknown = 2 * time.Second
 
-func (s *storeSync) apply(changes []Change) {
+// apply applies changes of the given epoch.
+func (s *storeSync) apply(changes []Change, epoch uint64) {
 	p := s.proxy
 	defer func() {
 		if s.ownRevision.Load() != 0 {
@@ -298,7 +308,7 @@
 			s.applyProxy(c)
 		case strings.HasPrefix(c.Key, claimPrefix):
 			name := entity.Database(c.Key[len(claimPrefix):])
-			p.database(name).applyClaim(c.Value, c.Revision, c.Removed)
+			p.database(name).applyClaim(c.Value, Revision{epoch, c.Revision}, c.Removed)
 		}
 	}
 	p.mu.Lock()
@@ -439,7 +449,7 @@
 		return told.Revision, nil
 	}
 	_, revision, err := store.Get(ctx, key)
-	return revision, err
+	return revision.Number, err
 }
 
 // unregister revokes the lease, which frees the proxy's share of connections at once.
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -39,7 +39,7 @@
 		return
 	}
 	t := &takeoverRun{monitor: mon, db: d, claim: c, replaced: replaced, planned: planned, startedAt: now()}
-	d.proxy.events.takeoverBegan(d.name, reason, c.fence)
+	d.proxy.events.takeoverBegan(d.name, reason, c.fence())
 	t.run()
 	mon.misses = 0
 }
@@ -99,7 +99,7 @@
 		}
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
 		decision := takeover.Decide(t.view(reports))
-		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence)
+		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence())
 		switch decision.Step {
 		case takeover.StepWait:
 			time.Sleep(takeoverPollInterval)
@@ -223,9 +223,9 @@
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
-	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.settings().VM, t.claim.fence)
+	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.settings().VM, t.claim.fence())
 	cancel()
-	t.db.proxy.events.promotionOrdered(t.db.name, target, t.claim.fence, err)
+	t.db.proxy.events.promotionOrdered(t.db.name, target, t.claim.fence(), err)
 	switch {
 	case errors.Is(err, ErrNotApplied):
 		time.Sleep(takeoverPollInterval)
@@ -275,7 +275,7 @@
 // giveUp ends a takeover without a promotion. Members stay paused if the primary is lost or
 // a promotion is pending; the next takeover continues from there.
 func (t *takeoverRun) giveUp() {
-	t.db.proxy.events.takeoverGivenUp(t.db.name, t.claim.fence)
+	t.db.proxy.events.takeoverGivenUp(t.db.name, t.claim.fence())
 	if t.planned {
 		t.liftPauses()
 	}
@@ -297,8 +297,8 @@
 	defer c.release()
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
 	defer cancel()
-	err := d.proxy.options.Promoter.Promote(ctx, d.name, primary.name, d.proxy.settings().VM, c.fence)
-	d.proxy.events.promotionOrdered(d.name, primary.name, c.fence, err)
+	err := d.proxy.options.Promoter.Promote(ctx, d.name, primary.name, d.proxy.settings().VM, c.fence())
+	d.proxy.events.promotionOrdered(d.name, primary.name, c.fence(), err)
 	if err != nil {
 		return
 	}
