A restored store confirms no configuration until it has settled

A key that was revoked in the seconds that a restore loses was accepted again: a proxy that had missed the revocation listed the restored store, which lacked it too, and took its own configuration for confirmed. Cause: an answer of the store was taken to show everything that it had acknowledged before. After a restore that holds only once the operators have written again what was lost.

A proxy that saw the store go back takes no confirmation from it, or from a watcher, for 2 s. Upstreams write their entries again within that time. A proxy that starts in these seconds cannot know that the store went back and takes its word; this gap remains.

--- a/internal/managed/restore_test.go
+++ b/internal/managed/restore_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"skylarkhinge.dev/skylarkhinge/internal/managed"
 	"skylarkhinge.dev/skylarkhinge/platform"
 	"skylarkhinge.dev/skylarkhinge/platform/standin"
 )
@@ -95,6 +96,36 @@
 	waitFor(t, registrationLimit, "the entry of the proxy", func() bool { return slices.Contains(f.store.Keys(key), key) })
 }
 
+// Guards against a proxy that missed the revocation of a key and takes the configuration of a
+// restored store, which lacks it, for the current one.
+func TestRestoredStoreConfirmsNoRevokedKey(t *testing.T) {
+	f := newStrictFleet(t, 3)
+	cut := f.nodes[2]
+	c := cut.open(t, strictDB)
+	c.eventually(5*time.Second, "READ a")
+	backup := f.store.Backup()
+	f.store.RejectProxy(cut.settings.VM)
+	cut.cut.Store(true)
+	f.setOrganisations(map[string][]string{"acme": {"u2"}})
+	revoked := time.Now()
+	f.store.SetFault(standin.StoreUnavailable)
+	time.Sleep(revocationTimeout / 2)
+	f.store.Restore(backup)
+	f.store.AcceptProxy(cut.settings.VM)
+	f.store.SetFault(standin.StoreHealthy)
+	waitFor(t, revocationTimeout, "a listing", func() bool { return len(cut.log.find("event=store_listed", "epoch=2")) > 0 })
+	time.Sleep(time.Until(revoked.Add(revocationTimeout)))
+	for end := time.Now().Add(revocationTimeout / 4); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		_, refused := cut.connect(t, strictDB)
+		assert.Assert(t, refused != nil, "a revoked key is accepted")
+	}
+	f.store.RewriteConfiguration()
+	waitFor(t, 5*time.Second, "the revocation", func() bool {
+		_, refused := cut.connect(t, strictDB)
+		return refused != nil && refused.Code == managed.CodeUnauthenticated
+	})
+}
+
 // Guards against a primary that is not replaced because a restored store gives out fencing
 // tokens again which the platform has already seen.
 func TestPrimaryIsReplacedAfterARestore(t *testing.T) {
--- a/internal/managed/revision.go
+++ b/internal/managed/revision.go
@@ -1,6 +1,10 @@
 package managed
 
-import "skylarkhinge.dev/skylarkhinge/core/entity"
+import (
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
 
 // Revision is a point in the history of the store. Number increases with each write. When
 // the store is restored from a backup, Number goes back and is given out again, and Epoch
@@ -22,6 +26,17 @@
 type epochStart struct {
 	epoch uint64
 	at    entity.Time
+	// restored is set if this proxy had listed an earlier epoch.
+	restored bool
+}
+
+// restoreSettleTime is the time after a restore within which operators and upstreams write
+// again what the restore lost.
+const restoreSettleTime = 2 * time.Second
+
+// settled reports whether the store shows all that it acknowledged before the given time.
+func (e *epochStart) settled(at entity.Time) bool {
+	return e == nil || !e.restored || at.Sub(e.at) >= restoreSettleTime
 }
 
 // Lease is a lease of the store. A restored store has forgotten the leases granted since the
--- a/internal/managed/revocation.go
+++ b/internal/managed/revocation.go
@@ -96,9 +96,9 @@
 }
 
 // confirm records the answer to a question that was sent at the given time, after its
-// changes were applied.
+// changes were applied. A restored store confirms nothing until it has settled.
 func (s *storeSync) confirm(sent entity.Time, age time.Duration) {
-	if s.refusedRevision != 0 {
+	if s.refusedRevision != 0 || !s.proxy.storeEpoch.Load().settled(sent.Add(-age)) {
 		return
 	}
 	source := storeSource
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -272,10 +272,11 @@
 	if before := s.proxy.storeEpoch.Load(); before != nil && before.epoch == listed.Epoch {
 		return
 	}
-	if s.revision != (Revision{}) {
+	restored := s.revision != (Revision{})
+	if restored {
 		s.proxy.events.storeRestored(s.revision, listed)
 	}
-	s.proxy.storeEpoch.Store(&epochStart{listed.Epoch, now()})
+	s.proxy.storeEpoch.Store(&epochStart{epoch: listed.Epoch, at: now(), restored: restored})
 }
 
 // maxFleetUnknown bounds the time after the first listing until this proxy acts as a gateway
