Entries of a restored store do not take back what an upstream announced

An upstream that leaves got new work again, and one that had restarted was looked for at its earlier address, until it had written its entry again. Cause: each entry replaced the one before, also when a restored store showed an older one.

A process that leaves does so until its end: only an entry of another incarnation ends that. Until a restored store has settled, the entry of an earlier incarnation is ignored; later it is accepted, since the clock of an upstream may go back between two starts.

--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -79,6 +79,10 @@
 	defer d.mu.Unlock()
 	at := now()
 	m, known := d.members[entry.Name]
+	if known && entry.Incarnation < m.entry.Incarnation && !d.proxy.storeEpoch.Load().settled(at) {
+		// The restored store shows an earlier process of the upstream.
+		return
+	}
 	if !known {
 		m = &member{name: entry.Name, entry: entry, distance: distance}
 		d.members[entry.Name] = m
@@ -113,7 +117,8 @@
 			m.idleConns = m.idleConns[:0]
 		}
 	}
-	if !entry.Leaving {
+	if !entry.Leaving && entry.Incarnation != m.entry.Incarnation {
+		// A process that leaves does so until its end.
 		m.leavingSince = 0
 	}
 	m.entry, m.distance, m.missingSince = entry, distance, 0
