Order revisions across restores of the store in the PostgreSQL daemon

The platform's entries and its list of VMs carry the epoch in which they were written. The client combines it with the revision, so that revisions only increase; without a restore nothing changes. An entry of the backup keeps its epoch and does not replace a later one. The stand-in of the platform can be restored.

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -68,7 +68,9 @@
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
-	mu             sync.Mutex
+	mu sync.Mutex
+	// epoch is the number of restores. The entries written since then have it.
+	epoch          uint64
 	entries        map[string]*platformpb.Entry
 	leases         map[string]lease
 	vmLists        []vmList
@@ -272,13 +274,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.entry(request.Key)
-	if current.Revision != request.ExpectedRevision {
+	if current.Revision != request.ExpectedRevision || current.Epoch != request.ExpectedEpoch {
 		return &platformpb.CompareAndSwapResponse{Entry: current}, nil
 	}
-	next := &platformpb.Entry{Key: request.Key, Value: slices.Clone(request.Value), Revision: current.Revision + 1}
-	s.entries[request.Key] = next
-	s.broadcast()
-	return &platformpb.CompareAndSwapResponse{Swapped: true, Entry: next}, nil
+	return &platformpb.CompareAndSwapResponse{Swapped: true, Entry: s.put(request.Key, request.Value)}, nil
 }
 
 // Lease grants, renews or releases a lease and returns its state.
@@ -329,8 +328,9 @@
 	s.adjustWatchCount(1)
 	defer s.adjustWatchCount(-1)
 	sent := map[string]uint64{}
+	epoch := s.currentEpoch()
 	for first := true; ; first = false {
-		unsent, changed, err := s.unsentEntries(request.Prefix, sent)
+		unsent, changed, err := s.unsentEntries(request.Prefix, sent, epoch)
 		if err != nil {
 			return err
 		}
@@ -365,11 +365,12 @@
 }
 
 // unsentEntries returns the entries under a prefix that are newer than the sent
-// revisions, ordered by key, and a channel that is closed on the next change.
-func (s *Server) unsentEntries(prefix string, sent map[string]uint64) ([]*platformpb.Entry, <-chan struct{}, error) {
+// revisions, ordered by key, and a channel that is closed on the next change. A restore ends
+// the watches of earlier epochs.
+func (s *Server) unsentEntries(prefix string, sent map[string]uint64, epoch uint64) ([]*platformpb.Entry, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.Outage || s.faults.StoreOutage {
+	if s.faults.Outage || s.faults.StoreOutage || s.epoch != epoch {
 		return nil, nil, errOutage
 	}
 	var out []*platformpb.Entry
@@ -393,7 +394,7 @@
 	if len(s.vmLists) == 0 || s.vmLists[0].visibleAt.After(now) {
 		return &platformpb.ListVMsResponse{}, nil
 	}
-	return &platformpb.ListVMsResponse{Vms: s.vmLists[0].vms, Revision: s.vmLists[0].revision}, nil
+	return &platformpb.ListVMsResponse{Vms: s.vmLists[0].vms, Revision: s.vmLists[0].revision, Epoch: s.epoch}, nil
 }
 
 var errUnnamedVM = errors.New("a VM has no name")
@@ -428,10 +429,50 @@
 func (s *Server) Put(key string, value []byte) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := &platformpb.Entry{Key: key, Value: slices.Clone(value), Revision: s.entry(key).Revision + 1}
+	return s.put(key, value).Revision
+}
+
+// put stores a value. The caller holds mu.
+func (s *Server) put(key string, value []byte) *platformpb.Entry {
+	next := &platformpb.Entry{Key: key, Value: slices.Clone(value), Revision: s.entry(key).Revision + 1, Epoch: s.epoch}
 	s.entries[key] = next
 	s.broadcast()
-	return next.Revision
+	return next
+}
+
+func (s *Server) currentEpoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// Backup is a copy of the entries and of the revision of the VM list.
+type Backup struct {
+	entries        map[string]*platformpb.Entry
+	vmListRevision uint64
+}
+
+// Backup returns a copy of the contents.
+func (s *Server) Backup() *Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Backup{entries: maps.Clone(s.entries), vmListRevision: s.vmListRevision}
+}
+
+// Restore replaces the entries by those of a backup and begins a new epoch, in which revisions
+// are given out again. Leases are lost, and watches end. The VM list stays, with the revision
+// after the one of the backup.
+func (s *Server) Restore(b *Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.entries, s.leases = maps.Clone(b.entries), map[string]lease{}
+	s.vmListRevision = b.vmListRevision
+	for i := range s.vmLists {
+		s.vmListRevision++
+		s.vmLists[i].revision = s.vmListRevision
+	}
+	s.broadcast()
 }
 
 // tokenBucket is a token bucket with a capacity of one second's tokens. Rate 0
--- a/metastore/client.go
+++ b/metastore/client.go
@@ -98,7 +98,8 @@
 
 // CompareAndSwap implements Store.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte) (SwapResult, error) {
-	request := &platformpb.CompareAndSwapRequest{Key: key, ExpectedRevision: expected, Value: value}
+	request := &platformpb.CompareAndSwapRequest{Key: key, Value: value}
+	request.ExpectedEpoch, request.ExpectedRevision = splitRevision(expected)
 	response, peer, err := call(ctx, c, "compare_and_swap", true, func(ctx context.Context, api platformpb.PlatformClient) (*platformpb.CompareAndSwapResponse, error) {
 		return api.CompareAndSwap(ctx, request)
 	})
@@ -205,7 +206,7 @@
 	if message.GetKey() != key {
 		return Entry{}, fmt.Errorf("answer for key %q instead of %q", message.GetKey(), key)
 	}
-	return Entry{Key: key, Value: message.GetValue(), Revision: message.GetRevision()}, nil
+	return Entry{Key: key, Value: message.GetValue(), Revision: orderedRevision(message.GetEpoch(), message.GetRevision())}, nil
 }
 
 func vmFromProto(message *platformpb.VM) VM {
--- a/metastore/list.go
+++ b/metastore/list.go
@@ -9,7 +9,8 @@
 // EncodeVMList encodes a list as a protobuf ListVMsResponse, in which form proxies
 // pass it on to each other.
 func EncodeVMList(list VMList) ([]byte, error) {
-	message := &platformpb.ListVMsResponse{Revision: list.Revision}
+	message := &platformpb.ListVMsResponse{}
+	message.Epoch, message.Revision = splitRevision(list.Revision)
 	for _, vm := range list.VMs {
 		message.Vms = append(message.Vms, vmToProto(vm))
 	}
@@ -26,7 +27,7 @@
 }
 
 func vmListFromProto(message *platformpb.ListVMsResponse) VMList {
-	list := VMList{Revision: message.GetRevision()}
+	list := VMList{Revision: orderedRevision(message.GetEpoch(), message.GetRevision())}
 	for _, vm := range message.GetVms() {
 		list.VMs = append(list.VMs, vmFromProto(vm))
 	}
--- a/metastore/platform.go
+++ b/metastore/platform.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Entry is one key with its value. The revision of a key grows with each change; a key
-// that does not exist has revision 0.
+// Entry is one key with its value. The revision of a key grows with each change, also after
+// the store was restored from a backup; a key that does not exist has revision 0.
 type Entry struct {
 	Key      string
 	Value    []byte
--- a/metastore/watch.go
+++ b/metastore/watch.go
@@ -105,6 +105,6 @@
 	if !strings.HasPrefix(entry.GetKey(), prefix) {
 		return event, fmt.Errorf("event for key %q outside of %q", entry.GetKey(), prefix)
 	}
-	event.Entry = Entry{Key: entry.GetKey(), Value: entry.GetValue(), Revision: entry.GetRevision()}
+	event.Entry = Entry{Key: entry.GetKey(), Value: entry.GetValue(), Revision: orderedRevision(entry.GetEpoch(), entry.GetRevision())}
 	return event, nil
 }
