--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -366,6 +366,31 @@
 	}
 }
 
+// injectRestore restores the store once from a backup of up to 3 s before.
+func (ft *faultTest) injectRestore(seed uint64) {
+	defer ft.workers.Done()
+	random := rand.New(rand.NewPCG(seed, 3))
+	time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	backup := ft.store.Backup()
+	time.Sleep(time.Duration(500+random.IntN(2500)) * time.Millisecond)
+	ft.store.Restore(backup)
+	ft.store.RewriteConfiguration()
+}
+
+// awaitConfiguration waits until every proxy serves a route added now. Proxies may have been
+// started just before.
+func (ft *faultTest) awaitConfiguration() {
+	name := ft.addRoute()
+	waitFor(ft.t, failoverLimit, "the new route at all proxies", func() bool {
+		for _, n := range ft.nodes {
+			if _, refused, err := n.dial(ft.t, name); refused != nil || err != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // crashPrimaryWithStaleReplica crashes the primary while m lacks the last commits. If m is
 // the primary, member 1 or 2 takes its place.
 func (ft *faultTest) crashPrimaryWithStaleReplica(m *standin.Member, pause time.Duration) {
@@ -418,7 +443,7 @@
 
 // Guards against violated guarantees under random faults of upstreams and store: stale
 // reads, lost or repeated writes, refused writes that took effect, mixed transactions, and
-// proxies that do not recover. The test runs in real time, so a seed determines the faults
+// proxies that do not recover or that miss a configuration. The test runs in real time, so a seed determines the faults
 // but not the interleaving.
 func TestRandomFailures(t *testing.T) {
 	for i := range *randomSeeds {
@@ -472,8 +497,11 @@
 		}
 		go ft.runReader(i/3, database, age, seed*100+uint64(i))
 	}
+	ft.workers.Add(1)
+	go ft.injectRestore(seed)
 	ft.injectFaults()
 	ft.workers.Wait()
+	ft.awaitConfiguration()
 	c := ft.client(0, strictDB)
 	c.eventually(failoverLimit, "WRITE final 1")
 	ft.checkCommits()
--- a/internal/managed/soak_test.go
+++ b/internal/managed/soak_test.go
@@ -156,7 +156,12 @@
 			time.Sleep(2 * pause)
 			_ = p.Signal(syscall.SIGCONT)
 		case 5:
+			started := len(s.node(i).log.find("event=started")) > 0
 			_ = p.Signal(syscall.SIGHUP)
+			if !started {
+				// Before the daemon handles signals, SIGHUP may end it.
+				s.restart(i, pause)
+			}
 		case 6:
 			r.Blackhole(relay.ScopeExisting, true)
 		case 7:
