Log sessions refused for lack of a route; explain names a restore of the store

New line database_unknown with the database and the version in force, within the budget of lines about requests. explain shows store_restored of the request's own proxy.

Tests: TestUnknownDatabaseIsLogged, TestExplainAfterARestore.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -67,7 +67,7 @@
 // proxyEvents are the events that can explain a request only if its own proxy logged them,
 // such as events of the store and of documents.
 var proxyEvents = map[string]bool{
-	"store_lost": true, "store_regained": true, "store_failed": true, "document_in_force": true,
+	"store_lost": true, "store_regained": true, "store_failed": true, "store_restored": true, "document_in_force": true,
 	"proxies_changed": true, "shutdown_began": true, "shutdown_ended": true, "started": true, "requests_omitted": true,
 	"configuration_expired": true, "configuration_confirmed": true, "limiter_failed": true,
 }
@@ -179,7 +179,7 @@
 // changeEvents are the state changes that are named as part of a cause.
 var changeEvents = map[string]bool{
 	"primary_changed": true, "takeover_began": true, "promotion_ordered": true, "store_lost": true,
-	"primary_missed": true, "document_in_force": true,
+	"primary_missed": true, "document_in_force": true, "store_restored": true,
 }
 
 // lastChange describes the last state change before the request's end.
@@ -198,7 +198,7 @@
 // formatDetails returns the fields of a line that are relevant to a cause.
 func formatDetails(l *Line) string {
 	var parts []string
-	for _, key := range []string{"reason", "from", "to", "peer", "term", "fence", "version", "step"} {
+	for _, key := range []string{"reason", "from", "to", "peer", "term", "fence", "version", "step", "epoch", "applied"} {
 		if value := l.Fields[key]; value != "" {
 			parts = append(parts, key+"="+value)
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -43,6 +43,19 @@
 	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
 }
 
+// Guards against an explanation that omits that the store was restored from a backup.
+func TestExplainAfterARestore(t *testing.T) {
+	log, err := Read(strings.NewReader(`time="2026-12-04T05:00:02Z" event=store_restored vm=a epoch_before=1 applied=133 epoch=2 revision=114
+time="2026-12-04T05:00:02Z" event=store_restored vm=b epoch_before=1 applied=130 epoch=2 revision=114
+time="2026-12-04T05:00:03Z" event=request_failed vm=a id=x1 group=g code=in_doubt peer=u1 took_ms=9 reason="no answer"
+`))
+	assert.NilError(t, err)
+	e, err := Explain(log, "x1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(e.Context), 1)
+	assert.Assert(t, strings.HasSuffix(e.Cause, "; 1000 ms before, a logged store_restored epoch=2 applied=133"), e.Cause)
+}
+
 // Guards against refusals for an organisation that are explained as a lack of slots, and
 // against a quota of another organisation in the explanation.
 func TestExplainOrganisations(t *testing.T) {
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -148,6 +148,16 @@
 	}).Info("key is unknown")
 }
 
+// databaseUnknown logs a session that was refused for lack of a route.
+func (e *events) databaseUnknown(s *session) {
+	if !e.admit(CodeUnknownDatabase) {
+		return
+	}
+	e.request("database_unknown").WithFields(logrus.Fields{
+		"database": s.databaseName, "document": s.proxy.document().Version, "caller": s.caller.Address(),
+	}).Info("no route for this database")
+}
+
 // transactionEnded logs a transaction that the proxy aborted between statements.
 func (e *events) transactionEnded(s *session, reason string) {
 	if e.admit(CodeAborted) {
--- a/internal/managed/restore_test.go
+++ b/internal/managed/restore_test.go
@@ -96,6 +96,16 @@
 	waitFor(t, registrationLimit, "the entry of the proxy", func() bool { return slices.Contains(f.store.Keys(key), key) })
 }
 
+// Guards against a session that is refused for lack of a route without a trace in the log.
+func TestUnknownDatabaseIsLogged(t *testing.T) {
+	f := newFleet(t, 1)
+	_, refused := f.nodes[0].connect(t, "absent")
+	assert.Equal(t, refused.Code, managed.CodeUnknownDatabase)
+	waitFor(t, time.Second, "the log line", func() bool {
+		return len(f.nodes[0].log.find("event=database_unknown", "database=absent", fmt.Sprintf("document=%d", f.version))) == 1
+	})
+}
+
 // Guards against a proxy that missed the revocation of a key and takes the configuration of a
 // restored store, which lacks it, for the current one.
 func TestRestoredStoreConfirmsNoRevokedKey(t *testing.T) {
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -105,6 +105,7 @@
 		s.reject(CodeBusy, "no configuration yet")
 		return
 	}
+	s.proxy.events.databaseUnknown(s)
 	s.reject(CodeUnknownDatabase, "no route for this database")
 }
 
