Spread the watches of the store that a change has ended, with strict revocation

Cause: a change ends the watches of all proxies at the same moment, and the next ones run in step. When the store went away at 15.0 s, the last instant that any of 74 proxies had confirmed was 12.41 s, so asking each other did not help.

The wait of a watch after one that ended with a change is random, up to the usual one. Then some proxy has confirmed the configuration shortly before an outage, and the others learn it from that one.

TestWaitsAfterAChangeAreSpread uses the new field; all its waits were equal before.

--- a/internal/managed/follower_test.go
+++ b/internal/managed/follower_test.go
@@ -11,6 +11,7 @@
 
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
+	"skylarkhinge.dev/skylarkhinge/core/organisation"
 )
 
 // logPeers answers polls from the log of a watcher. The watcher is suspended for pause
@@ -80,3 +81,29 @@
 	_, err := s.pollWatcher(context.Background(), gateway.Proxy{})
 	assert.ErrorIs(t, err, ErrCompacted)
 }
+
+// Guards against watches that a change ends together and that stay in step, so that no proxy
+// has confirmed the configuration shortly before the store fails.
+func TestWaitsAfterAChangeAreSpread(t *testing.T) {
+	p := newTestProxy(nil)
+	settings := *p.settings()
+	settings.StrictRevocation = true
+	p.applySettings(&settings)
+	directory, err := organisation.NewDirectory(nil)
+	assert.NilError(t, err)
+	p.currentDocument.Store(&Document{Version: 1, Organisations: directory})
+	s := newStoreSync(p)
+	at := now()
+	p.confirmConfiguration(at, 0, storeSource)
+	policy, strict := p.revocationPolicy()
+	assert.Assert(t, strict)
+	assert.Equal(t, s.waitForWatch(at), policy.WatchWait)
+	s.endedByChange = true
+	shortest, longest := policy.WatchWait, time.Duration(0)
+	for range 200 {
+		wait := s.waitForWatch(at)
+		shortest, longest = min(shortest, wait), max(longest, wait)
+	}
+	assert.Assert(t, longest <= policy.WatchWait)
+	assert.Assert(t, shortest < policy.WatchWait/4 && longest > policy.WatchWait*3/4, "%v to %v", shortest, longest)
+}
--- a/internal/managed/revocation.go
+++ b/internal/managed/revocation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -74,7 +75,11 @@
 	if !strict {
 		return watchWait
 	}
-	return min(watchWait, policy.WaitForWatch(s.ageForWait(at)))
+	wait := min(watchWait, policy.WaitForWatch(s.ageForWait(at)))
+	if s.endedByChange {
+		return rand.N(wait)
+	}
+	return wait
 }
 
 // waitForPoll returns the wait of the next poll of a watcher.
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -203,6 +203,7 @@
 		s.proxy.watchLog.stop()
 		return update{}, err
 	}
+	s.endedByChange = len(changes) > 0
 	s.proxy.watchLog.append(s.revision, revision, changes, sent)
 	return update{changes, revision, sent, 0}, nil
 }
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -132,6 +132,10 @@
 	source gateway.WatchSource
 	// startedAt is when the first listing was complete.
 	startedAt entity.Time
+	// endedByChange is set if the last watch of the store ended with a change. The watches of
+	// all proxies end then, and the next wait is randomised so that they do not stay in step:
+	// if the store fails, one of them has confirmed the configuration shortly before.
+	endedByChange bool
 	// refusedRevision is the revision of the store's configuration if it could not be
 	// decoded, else 0. The configuration in force is older then, so nothing is confirmed.
 	refusedRevision uint64
