--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -282,8 +282,8 @@
 		WithError(err).Warn("step failed")
 }
 
-func (e *events) documentInForce(version uint64, routes int, outdated bool) {
-	e.stateChanged("document_in_force", logrus.Fields{"version": version, "routes": routes, "outdated": outdated})
+func (e *events) documentInForce(doc *Document, outdated bool) {
+	e.stateChanged("document_in_force", logrus.Fields{"version": doc.Version, "routes": len(doc.Routes), "bytes": len(doc.Source), "outdated": outdated})
 }
 
 func (e *events) documentRelayed(from entity.VM, version uint64) {
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -375,7 +375,7 @@
 	defer p.documentMu.Unlock()
 	if doc.Version <= p.document().Version {
 		if doc.Version < p.document().Version {
-			p.events.documentInForce(doc.Version, len(doc.Routes), true)
+			p.events.documentInForce(doc, true)
 		}
 		return
 	}
@@ -384,7 +384,7 @@
 	if first {
 		close(p.configured)
 	}
-	p.events.documentInForce(doc.Version, len(doc.Routes), false)
+	p.events.documentInForce(doc, false)
 	if p.observer != nil {
 		p.observer.metrics.CountDocumentInForce(operatorsDocument)
 	}
