Failing tests: large configurations over the links of small VMs

The tests fail on this code: an answer of 1 MB takes 0.9 s on a link of 10 Mbit/s, longer than the time limits of polls, watches, listings and requests to other proxies allow; an answer with several versions is longer than a client reads. The stand-in limits the bandwidth of a proxy's links.

--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -72,6 +72,9 @@
 	adjust func(*config.ManagedSettings)
 	// upstreamPace is the setting of that name of proxies started later.
 	upstreamPace bool
+	// linkBandwidth is the bandwidth in bytes a second of the links of proxies started later, in
+	// each direction; 0 means no limit.
+	linkBandwidth int
 	// logOutput replaces the log output of proxies started later, if set.
 	logOutput io.Writer
 }
@@ -147,6 +150,11 @@
 	assert.NilError(f.t, err)
 	settings.PeerAddress = peers.Addr().String()
 	status := httptest.NewUnstartedServer(nil)
+	var incoming *standin.Link
+	if f.linkBandwidth > 0 {
+		incoming = standin.NewLink(f.linkBandwidth)
+		status.Listener = standin.NewLink(f.linkBandwidth).Listener(status.Listener)
+	}
 	settings.MetricsAddress = status.Listener.Addr().String()
 	if f.adjust != nil {
 		f.adjust(&settings)
@@ -160,7 +168,7 @@
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
 	n := &node{settings: settings, log: lines, done: make(chan error, 1)}
 	n.proxy = managed.New(managed.Options{
-		Settings: &settings, Store: platform.NewStoreClient(f.store.AddressFor(settings.VM)), Protocol: platform.LineProtocol{VM: settings.VM},
+		Settings: &settings, Store: platform.NewStoreClient(f.store.AddressFor(settings.VM, incoming)), Protocol: platform.LineProtocol{VM: settings.VM},
 		Promoter: platform.NewPromotionClient(f.store.Address()), Peers: &cuttablePeers{platform.NewPeerClient(), n}, NewCaller: n.accept, Log: log,
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	})
