Limit the wait for an answer by its progress, not by its size

Cause: listings, watches, polls of a watcher and requests for another proxy's configuration had to end within 0.3 to 1.2 s, however large the answer. With a configuration near the platform's limit of 1 MB, an answer takes 0.9 s on a link of 10 Mbit/s that carries nothing else. It was cut on its way and asked for again from another source, so that the links carried only answers that were thrown away. A proxy with such a link that had to list more than 1.4 MB never had a configuration.

Change: the time limit holds for the beginning of an answer.

--- a/internal/managed/relay.go
+++ b/internal/managed/relay.go
@@ -111,7 +111,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.relayTimeout())
+	ctx, cancel := withAnswerWait(ctx, p.relayTimeout())
 	defer cancel()
 	sent, have := now(), p.document().Version
 	answer, err := p.options.Peers.Document(ctx, peer.StatusAddress, have)
--- a/internal/managed/revocation.go
+++ b/internal/managed/revocation.go
@@ -59,7 +59,8 @@
 	return strict && policy.Overdue(p.configurationAge(at))
 }
 
-// relayTimeout returns the time limit of a request for another proxy's configuration.
+// relayTimeout returns the time within which another proxy must begin to answer a request for
+// its configuration.
 func (p *Proxy) relayTimeout() time.Duration {
 	policy, strict := p.revocationPolicy()
 	if !strict {
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -20,7 +20,7 @@
 
 const (
 	// pollWait is how long a watcher holds a poll without changes; pollSlack is the
-	// additional time allowed for its answer. A watcher that stops is detected within their
+	// additional time in which its answer must begin. A watcher that stops is detected within their
 	// sum, well within the time in which a configuration must take effect.
 	pollWait  = 1500 * time.Millisecond
 	pollSlack = 500 * time.Millisecond
@@ -169,7 +169,7 @@
 func (s *storeSync) pollWatcher(ctx context.Context, watcher gateway.Proxy) (update, error) {
 	sent := now()
 	wait := s.waitForPoll(sent)
-	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
+	ctx, cancel := withAnswerWait(ctx, wait+pollSlack)
 	defer cancel()
 	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision, wait)
 	if err != nil {
@@ -194,7 +194,7 @@
 func (s *storeSync) watchStore(ctx context.Context) (update, error) {
 	sent := now()
 	wait := s.waitForWatch(sent)
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	ctx, cancel := withAnswerWait(ctx, wait+watchSlack)
 	defer cancel()
 	s.cancelWatch.Store(&cancel)
 	defer s.cancelWatch.Store(nil)
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -16,7 +16,7 @@
 
 const (
 	// watchWait is how long the store holds a watch without changes; watchSlack is the
-	// additional time allowed for the answer. A watch sent during a short store outage is
+	// additional time in which the answer must begin. A watch sent during a short store outage is
 	// never answered, so their sum must fit into the time in which a configuration must
 	// take effect.
 	watchWait  = 3500 * time.Millisecond
@@ -243,7 +243,7 @@
 
 // list reads all entries. Known entries that are not listed are removed.
 func (s *storeSync) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := withAnswerWait(ctx, 2*storeTimeout)
 	defer cancel()
 	sent := now()
 	changes, revision, err := s.proxy.options.Store.List(ctx)
