Serve only the last change of each entry to followers

Cause: the log of a watcher kept every version of the configuration. A follower that polled after two quick changes got both, 2 MB instead of 1, and four versions exceeded the size of the log, so that followers had to list the store.

Change: a change replaces the earlier change of the same entry. Each holds the whole entry, so followers miss nothing.

Measured: TestWatchLogKeepsTheLastChangeOfAnEntry fails without the change ("history is no longer available") and passes with it.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -351,6 +351,17 @@
 	Source []byte
 }
 
+// entryName identifies the entry among those that concern the proxies.
+func (c *Change) entryName() string {
+	switch {
+	case c.MemberName != "":
+		return "upstream/" + string(c.MemberName)
+	case c.Key != "":
+		return "proxy/" + c.Key
+	}
+	return "configuration"
+}
+
 // Store is the platform's key-value store.
 type Store interface {
 	// List returns all entries and the revision at which they were read. It returns
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	maxLogBytes   = 4 << 20
 )
 
-// watchLog keeps the most recent store changes while this proxy watches the store, for
+// watchLog keeps the most recent change of each changed entry of the store while this proxy watches the store, for
 // proxies that poll it. It is safe for concurrent use.
 type watchLog struct {
 	mu sync.Mutex
@@ -68,6 +69,7 @@
 	l.watching, l.lastRevision, l.lastContact = true, to, now()
 	l.confirmation.Confirm(sent, 0)
 	for i := range changes {
+		l.removeEntry(changes[i].entryName())
 		l.entries = append(l.entries, changes[i])
 		l.bytes += len(changes[i].Source)
 	}
@@ -81,6 +83,19 @@
 	}
 }
 
+// removeEntry removes the earlier change of an entry. A change holds the whole entry, so
+// the last one of each is enough: several versions of a large configuration in one answer would
+// take the links of small VMs for seconds. The mutex is held.
+func (l *watchLog) removeEntry(name string) {
+	l.entries = slices.DeleteFunc(l.entries, func(c Change) bool {
+		if c.entryName() != name {
+			return false
+		}
+		l.bytes -= len(c.Source)
+		return true
+	})
+}
+
 // recordContact records that the store answered a call other than a watch.
 func (l *watchLog) recordContact() {
 	l.mu.Lock()
--- a/internal/managed/watchlog_test.go
+++ b/internal/managed/watchlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 func changesAt(revisions ...uint64) []Change {
 	var out []Change
 	for _, r := range revisions {
-		out = append(out, Change{Revision: r, Source: []byte("{}")})
+		out = append(out, Change{Revision: r, Key: fmt.Sprint(r), Source: []byte("{}")})
 	}
 	return out
 }
@@ -57,6 +58,24 @@
 	assert.Equal(t, len(answer.Entries), maxLogEntries)
 }
 
+// Guards against answers with versions of a configuration that have been replaced, and against
+// a log that they fill.
+func TestWatchLogKeepsTheLastChangeOfAnEntry(t *testing.T) {
+	l := newWatchLog()
+	large := make([]byte, maxLogBytes/2)
+	for r := uint64(10); r < 20; r += 2 {
+		l.append(revision(r), revision(r+2), []Change{
+			{Revision: r + 1, Document: &Document{Version: r}, Source: large},
+			{Revision: r + 2, MemberName: "db-1", Source: []byte("{}"), Removed: r%4 == 0},
+		}, now())
+	}
+	answer, _, err := l.changesSince(revision(10))
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Entries), 2)
+	assert.Equal(t, answer.Revision, uint64(20))
+	assert.Equal(t, l.bytes, len(large)+len("{}"))
+}
+
 // Guards against a watcher that keeps answering although it lost the store or reads from
 // another proxy itself, and against a waiting poll that does not notice either.
 func TestWatchLogEnds(t *testing.T) {
