Followers fetch the configuration apart from other changes, compressed

Callers saw routes of a replaced configuration served and keys refused for seconds after a configuration of 800 KB (CONFIG).

Cause: a watcher sent each follower the configuration in base64 among the other changes: 1.1 MB for each of up to six followers, 5 s of a link of 10 Mbit/s. Proxies that asked others for a confirmation got all of a configuration that was older than their own.

Change: a follower tells its watcher which version it has. The answer to its poll has all other changes at once and names a newer version, which the follower then fetches from the watcher in gzip format, a tenth of the size. It confirms nothing before it has it. A watcher announces a version only once it has it in force. Proxies of an earlier version, and configurations that a watcher cannot decode, are served as before. A request for a configuration that the asking proxy already has, or has a later version of, gets an empty answer.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -1,9 +1,12 @@
 package managed
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -301,6 +304,23 @@
 	Organisations *organisation.Directory
 	// Source is the configuration as it was read. It is served to other proxies.
 	Source []byte
+
+	compressOnce     sync.Once
+	compressedSource []byte
+}
+
+// compressed returns Source in gzip format, for other proxies. A configuration has many similar
+// routes, and it passes the links of small VMs.
+func (d *Document) compressed() []byte {
+	d.compressOnce.Do(func() {
+		var b bytes.Buffer
+		// The level is valid, and a buffer accepts every write.
+		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+		_, _ = w.Write(d.Source)
+		_ = w.Close()
+		d.compressedSource = b.Bytes()
+	})
+	return d.compressedSource
 }
 
 // Errors returned by Store.
@@ -395,7 +415,7 @@
 
 // PeerDocument is the configuration in effect at another proxy.
 type PeerDocument struct {
-	// Document is nil if its version is the one that the caller has.
+	// Document is nil if the caller has its version or a later one.
 	Document *Document
 	// Age is the age of the configuration when the other proxy answered, or UnknownAge.
 	Age time.Duration
@@ -410,6 +430,9 @@
 	// Age is the time from the instant up to which the changes are known to be complete to
 	// the answer, or UnknownAge.
 	Age time.Duration
+	// DocumentVersion is the version of the configuration in effect at the other proxy, which
+	// includes every change up to Revision. It is 0 if Changes has the configuration.
+	DocumentVersion uint64
 }
 
 // Peers fetches store data from other proxies.
@@ -419,8 +442,10 @@
 	Document(ctx context.Context, address string, have uint64) (PeerDocument, error)
 	// Changes returns the store changes after a revision from the proxy with the given
 	// address. If there are none it returns after wait. It returns ErrCompacted if that
-	// proxy no longer has them.
-	Changes(ctx context.Context, address string, after Revision, wait time.Duration) (PeerChanges, error)
+	// proxy no longer has them. have is the version of the caller's configuration: the answer
+	// tells if there is a later one, and does not wait then, but does not contain it. With 0 the
+	// answer contains a changed configuration.
+	Changes(ctx context.Context, address string, after Revision, have uint64, wait time.Duration) (PeerChanges, error)
 }
 
 // Errors returned by Promoter.
--- a/internal/managed/follower_test.go
+++ b/internal/managed/follower_test.go
@@ -12,6 +12,7 @@
 	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
 	"skylarkhinge.dev/skylarkhinge/core/organisation"
+	"skylarkhinge.dev/skylarkhinge/core/revocation"
 )
 
 // logPeers answers polls from the log of a watcher. The watcher is suspended for pause
@@ -22,8 +23,8 @@
 	pause time.Duration
 }
 
-func (p *logPeers) Changes(ctx context.Context, _ string, after Revision, wait time.Duration) (PeerChanges, error) {
-	answer, err := p.log.waitForChanges(ctx, after, wait)
+func (p *logPeers) Changes(ctx context.Context, _ string, after Revision, have uint64, wait time.Duration) (PeerChanges, error) {
+	answer, err := p.log.waitForChanges(ctx, poll{after, have, wait})
 	if err != nil {
 		return PeerChanges{}, err
 	}
@@ -107,3 +108,47 @@
 	assert.Assert(t, longest <= policy.WatchWait)
 	assert.Assert(t, shortest < policy.WatchWait/4 && longest > policy.WatchWait*3/4, "%v to %v", shortest, longest)
 }
+
+// announcingPeers announce a configuration. Document fails while unavailable is set.
+type announcingPeers struct {
+	Peers
+	document    *Document
+	unavailable bool
+}
+
+func (p *announcingPeers) Changes(_ context.Context, _ string, after Revision, have uint64, _ time.Duration) (PeerChanges, error) {
+	answer := PeerChanges{Revision: Revision{after.Epoch, after.Number + 1}, DocumentVersion: p.document.Version}
+	answer.Changes = []Change{{Revision: answer.Revision.Number, Key: vmPrefix + "vm-9", Value: []byte("{}")}}
+	return answer, nil
+}
+
+func (p *announcingPeers) Document(context.Context, string, uint64) (PeerDocument, error) {
+	if p.unavailable {
+		return PeerDocument{}, errNoAnswer
+	}
+	return PeerDocument{Document: p.document}, nil
+}
+
+// Guards against a follower that takes its configuration for the current one although it has
+// not got the one that its watcher announced, and against other changes that wait for it.
+func TestFollowerConfirmsNothingWithoutTheAnnouncedConfiguration(t *testing.T) {
+	peers := &announcingPeers{document: &Document{Version: 9}, unavailable: true}
+	p := newTestProxy(peers)
+	p.currentDocument.Store(&Document{Version: 7})
+	s := newStoreSync(p)
+	s.revision, s.mustList, s.watcherName = revision(20), false, "vm-1"
+	follow := func() {
+		u, err := s.pollWatcher(context.Background(), gateway.Proxy{VM: "vm-1"})
+		assert.NilError(t, err)
+		s.applyUpdate(context.Background(), &u)
+	}
+	follow()
+	assert.Equal(t, p.configurationAge(now()), revocation.Never)
+	assert.Equal(t, s.revision, revision(20))
+	assert.Equal(t, len(p.proxies.listed), 1)
+	peers.unavailable = false
+	follow()
+	assert.Equal(t, p.document().Version, uint64(9))
+	assert.Equal(t, s.revision, revision(21))
+	assert.Assert(t, p.configurationAge(now()) != revocation.Never)
+}
--- a/internal/managed/relay.go
+++ b/internal/managed/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
@@ -54,8 +55,8 @@
 // unavailable. A new configuration then takes effect within about two intervals.
 const relayInterval = 700 * time.Millisecond
 
-// ServeDocument serves the current configuration to a proxy that has lost the store. If
-// the parameter have is its version, the answer is empty.
+// ServeDocument serves the current configuration to a follower, or to a proxy that has lost
+// the store. If the parameter have is its version or a later one, the answer is empty.
 func (p *Proxy) ServeDocument(w http.ResponseWriter, r *http.Request) {
 	// The age is read before the document, which may be replaced in between: the later
 	// document includes what the age says.
@@ -66,13 +67,18 @@
 		return
 	}
 	header.Write(w.Header())
-	if r.FormValue("have") == strconv.FormatUint(doc.Version, 10) {
+	if have, err := strconv.ParseUint(r.FormValue("have"), 10, 64); err == nil && have >= doc.Version {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	text := doc.Source
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		text = doc.compressed()
+	}
 	// A write error means that the client has disconnected.
-	_, _ = w.Write(doc.Source)
+	_, _ = w.Write(text)
 }
 
 // relayDocuments fetches the configuration from other proxies while the store is
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -33,6 +34,9 @@
 	Epoch    uint64 `json:"epoch,omitempty"`
 	// Entries are the changed entries as received from the store.
 	Entries []json.RawMessage `json:"entries"`
+	// DocumentVersion is the version of the configuration in effect, if the poll says which one
+	// the follower has. Entries do not contain the configuration then.
+	DocumentVersion uint64 `json:"document_version,omitempty"`
 	// Age is the time in milliseconds from the instant up to which Entries are complete to
 	// the answer. It is nil in answers of proxies that do not know the field.
 	Age *int64 `json:"age_ms,omitempty"`
@@ -44,33 +48,59 @@
 	return &count
 }
 
-// ServeChanges answers a poll of another proxy. It waits for a change, up to the time in
-// the parameter wait_ms but at most pollWait, which is also the default. It answers at once
-// if the parameter epoch is not that of its own revision. Proxies of earlier versions do not
-// send one.
-func (p *Proxy) ServeChanges(w http.ResponseWriter, r *http.Request) {
-	var after Revision
+// poll is the question of a follower to its watcher.
+type poll struct {
+	// after is the revision of the follower. Its epoch is 0 if the follower does not know it.
+	after Revision
+	// have is the version of the follower's configuration, 0 if the answer is to contain the
+	// configuration.
+	have uint64
+	wait time.Duration
+}
+
+// readPoll decodes the parameters after, epoch, have and wait_ms. The last three are
+// optional: proxies of earlier versions do not send all of them.
+func readPoll(r *http.Request) (poll, error) {
+	q := poll{wait: pollWait}
 	var err error
-	if after.Number, err = strconv.ParseUint(r.FormValue("after"), 10, 64); err != nil {
-		http.Error(w, "after is not a revision", http.StatusBadRequest)
-		return
+	if q.after.Number, err = strconv.ParseUint(r.FormValue("after"), 10, 64); err != nil {
+		return poll{}, errors.New("after is not a revision")
 	}
 	if text := r.FormValue("epoch"); text != "" {
-		if after.Epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
-			http.Error(w, "epoch is not a number", http.StatusBadRequest)
-			return
+		if q.after.Epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return poll{}, errors.New("epoch is not a number")
+		}
+	}
+	if text := r.FormValue("have"); text != "" {
+		if q.have, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return poll{}, errors.New("have is not a version")
 		}
 	}
-	wait := pollWait
 	if text := r.FormValue("wait_ms"); text != "" {
 		count, err := strconv.ParseUint(text, 10, 32)
 		if err != nil {
-			http.Error(w, "wait_ms is not a number", http.StatusBadRequest)
-			return
+			return poll{}, errors.New("wait_ms is not a number")
 		}
-		wait = min(wait, time.Duration(count)*time.Millisecond)
+		q.wait = min(q.wait, time.Duration(count)*time.Millisecond)
+	}
+	return q, nil
+}
+
+// ServeChanges answers a poll of another proxy. It waits for a change, up to the time in
+// the parameter wait_ms but at most pollWait, which is also the default. It answers at once
+// if the parameter epoch is not that of its own revision, or if it has a later configuration
+// than the parameter have says. The follower fetches that at DocumentPath, where it is compressed,
+// and does not wait for it to apply the other changes.
+func (p *Proxy) ServeChanges(w http.ResponseWriter, r *http.Request) {
+	q, err := readPoll(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
-	answer, err := p.watchLog.waitForChanges(r.Context(), after, wait)
+	if q.have != 0 && q.have < p.document().Version {
+		q.wait = 0
+	}
+	answer, err := p.watchLog.waitForChanges(r.Context(), q)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
@@ -79,6 +109,10 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	if q.have != 0 {
+		// The configuration is read after the log, so it includes what the log shows.
+		answer.DocumentVersion = p.document().Version
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// An encoding error means that the client has disconnected.
 	_ = json.NewEncoder(w).Encode(answer)
@@ -101,6 +135,10 @@
 type update struct {
 	changes  []Change
 	revision Revision
+	// documentVersion is the version of the configuration that has to be fetched from watcher
+	// unless this proxy has it, 0 if there is none.
+	documentVersion uint64
+	watcher         gateway.Proxy
 	// sent is when the question was sent, age the age of the answer's confirmation: 0 for
 	// the store.
 	sent entity.Time
@@ -171,7 +209,7 @@
 	wait := s.waitForPoll(sent)
 	ctx, cancel := withAnswerWait(ctx, wait+pollSlack)
 	defer cancel()
-	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision, wait)
+	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision, s.versionForPoll(), wait)
 	if err != nil {
 		return update{}, err
 	}
@@ -188,7 +226,42 @@
 		s.proxy.events.watcherBehind(watcher.VM, s.revision, answer.Revision)
 		answer.Revision.Number = s.revision.Number
 	}
-	return update{answer.Changes, answer.Revision, sent, answer.Age}, nil
+	return update{
+		changes: answer.Changes, revision: answer.Revision, sent: sent, age: answer.Age,
+		documentVersion: answer.DocumentVersion, watcher: watcher,
+	}, nil
+}
+
+// versionForPoll returns the version of the configuration that a watcher is told. It is 0, so
+// that the configuration comes with the changes, if this proxy could not decode one: another
+// attempt would not help.
+func (s *storeSync) versionForPoll() uint64 {
+	if s.refusedRevision != 0 {
+		return 0
+	}
+	return s.proxy.document().Version
+}
+
+// fetchDocument fetches the configuration that an update announces, unless this proxy has it.
+func (s *storeSync) fetchDocument(ctx context.Context, u *update) error {
+	p := s.proxy
+	have := p.document().Version
+	if u.documentVersion <= have {
+		return nil
+	}
+	ctx, cancel := withAnswerWait(ctx, pollSlack)
+	defer cancel()
+	answer, err := p.options.Peers.Document(ctx, u.watcher.StatusAddress, have)
+	if err != nil {
+		return err
+	}
+	if answer.Document != nil {
+		p.setDocument(answer.Document)
+	}
+	if in := p.document().Version; in < u.documentVersion {
+		return fmt.Errorf("watcher announced configuration %d and served %d", u.documentVersion, in)
+	}
+	return nil
 }
 
 func (s *storeSync) watchStore(ctx context.Context) (update, error) {
@@ -204,6 +277,5 @@
 		return update{}, err
 	}
 	s.endedByChange = len(changes) > 0
-	s.proxy.watchLog.append(s.revision, revision, changes, sent)
-	return update{changes, revision, sent, 0}, nil
+	return update{changes: changes, revision: revision, sent: sent}, nil
 }
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -201,15 +201,30 @@
 	if err != nil {
 		return err
 	}
-	s.apply(u.changes, u.revision.Epoch)
-	s.revision = u.revision
-	s.confirm(u.sent, u.age)
+	s.applyUpdate(ctx, &u)
 	if len(u.changes) > 0 && s.watcherName == "" {
 		sleep(ctx, s.coalesceDelay())
 	}
 	return nil
 }
 
+// applyUpdate applies an update and confirms the configuration with it. Without the
+// configuration that the update announces, its changes will be read again, from another source.
+func (s *storeSync) applyUpdate(ctx context.Context, u *update) {
+	s.apply(u.changes, u.revision.Epoch)
+	if s.watcherName == "" {
+		// The changes are in effect, so that followers do not hear of a configuration that this
+		// proxy does not serve yet.
+		s.proxy.watchLog.append(s.revision, u.revision, u.changes, u.sent)
+	} else if err := s.fetchDocument(ctx, u); err != nil {
+		s.proxy.events.rateLimited("watcher_failed", "fetch_document", string(u.watcher.VM), nil, err)
+		s.source.RecordFailure(now(), u.watcher.VM, false)
+		return
+	}
+	s.revision = u.revision
+	s.confirm(u.sent, u.age)
+}
+
 // coalescePerProxy and coalesceMax set the delay of the next watch after a change, so that
 // a burst of changes takes few calls to the store. Every proxy that watches makes these
 // calls, so the delay grows with the number of proxies. A single change is not delayed.
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -108,12 +108,13 @@
 
 // changesSince returns the changes after a revision. If there are none it also returns a
 // channel that is closed when the next one arrives. It returns no changes and no channel if
-// the revision is of another epoch than the log; a revision without epoch is of any.
-func (l *watchLog) changesSince(after Revision) (ChangesResponse, <-chan struct{}, error) {
+// the revision is of another epoch than the log; a revision without epoch is of any. Without
+// withDocument a changed configuration is left out, unless it could not be decoded: a follower of
+// another version may be able to.
+func (l *watchLog) changesSince(after Revision, withDocument bool) (ChangesResponse, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case !l.watching || now().Sub(l.lastContact) > maxContactAge:
+	if !l.watching || now().Sub(l.lastContact) > maxContactAge {
 		return ChangesResponse{}, nil, errNotWatching
 	}
 	answer := ChangesResponse{
@@ -125,24 +126,30 @@
 	case after.Number < l.completeAfter:
 		return ChangesResponse{}, nil, ErrCompacted
 	}
+	changed := false
 	for i := range l.entries {
-		if l.entries[i].Revision > after.Number {
-			answer.Entries = append(answer.Entries, l.entries[i].Source)
+		c := &l.entries[i]
+		if c.Revision <= after.Number {
+			continue
+		}
+		changed = true
+		if c.Document == nil || withDocument {
+			answer.Entries = append(answer.Entries, c.Source)
 		}
 	}
-	if len(answer.Entries) > 0 {
+	if changed {
 		return answer, nil, nil
 	}
 	return answer, l.changed, nil
 }
 
-// waitForChanges returns what changesSince returns, waiting up to limit for the first
-// change.
-func (l *watchLog) waitForChanges(ctx context.Context, after Revision, limit time.Duration) (ChangesResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// waitForChanges returns the answer to a poll: what changesSince returns, after waiting for the
+// first change.
+func (l *watchLog) waitForChanges(ctx context.Context, q poll) (ChangesResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.wait)
 	defer cancel()
 	for {
-		answer, changed, err := l.changesSince(after)
+		answer, changed, err := l.changesSince(q.after, q.have == 0)
 		if err != nil || changed == nil {
 			return answer, err
 		}
@@ -150,7 +157,7 @@
 		case <-changed:
 		case <-ctx.Done():
 			// The last contact with the store may have become too old in the meantime.
-			answer, _, err = l.changesSince(after)
+			answer, _, err = l.changesSince(q.after, q.have == 0)
 			return answer, err
 		}
 	}
--- a/internal/managed/watchlog_test.go
+++ b/internal/managed/watchlog_test.go
@@ -25,35 +25,35 @@
 // from a gap, or beyond the size limit.
 func TestWatchLogIsComplete(t *testing.T) {
 	l := newWatchLog()
-	_, _, err := l.changesSince(revision(0))
+	_, _, err := l.changesSince(revision(0), true)
 	assert.Assert(t, errors.Is(err, errNotWatching))
 
 	l.append(revision(10), revision(12), changesAt(11, 12), now())
-	answer, _, err := l.changesSince(revision(10))
+	answer, _, err := l.changesSince(revision(10), true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 2)
 	assert.Equal(t, answer.Revision, uint64(12))
-	answer, _, err = l.changesSince(revision(11))
+	answer, _, err = l.changesSince(revision(11), true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 1)
-	_, _, err = l.changesSince(revision(9))
+	_, _, err = l.changesSince(revision(9), true)
 	assert.Assert(t, errors.Is(err, ErrCompacted))
-	answer, changed, err := l.changesSince(revision(20)) // a follower that is ahead
+	answer, changed, err := l.changesSince(revision(20), true) // a follower that is ahead
 	assert.NilError(t, err)
 	assert.Assert(t, changed != nil)
 	assert.Equal(t, answer.Revision, uint64(12))
 
 	l.append(revision(15), revision(16), changesAt(16), now())
-	_, _, err = l.changesSince(revision(12))
+	_, _, err = l.changesSince(revision(12), true)
 	assert.Assert(t, errors.Is(err, ErrCompacted))
 
 	for r := uint64(16); r < 16+2*maxLogEntries; r++ {
 		l.append(revision(r), revision(r+1), changesAt(r+1), now())
 	}
 	assert.Equal(t, len(l.entries), maxLogEntries)
-	_, _, err = l.changesSince(revision(16))
+	_, _, err = l.changesSince(revision(16), true)
 	assert.Assert(t, errors.Is(err, ErrCompacted))
-	answer, _, err = l.changesSince(revision(l.completeAfter))
+	answer, _, err = l.changesSince(revision(l.completeAfter), true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), maxLogEntries)
 }
@@ -69,7 +69,7 @@
 			{Revision: r + 2, MemberName: "db-1", Source: []byte("{}"), Removed: r%4 == 0},
 		}, now())
 	}
-	answer, _, err := l.changesSince(revision(10))
+	answer, _, err := l.changesSince(revision(10), true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 2)
 	assert.Equal(t, answer.Revision, uint64(20))
@@ -82,15 +82,15 @@
 	l := newWatchLog()
 	l.append(revision(1), revision(2), changesAt(2), now())
 	l.lastContact = now().Add(-maxContactAge - time.Millisecond)
-	_, _, err := l.changesSince(revision(1))
+	_, _, err := l.changesSince(revision(1), true)
 	assert.Assert(t, errors.Is(err, errNotWatching))
 	l.recordContact()
-	_, _, err = l.changesSince(revision(1))
+	_, _, err = l.changesSince(revision(1), true)
 	assert.NilError(t, err)
 
 	ended := make(chan error, 1)
 	go func() {
-		_, err := l.waitForChanges(context.Background(), revision(2), time.Minute)
+		_, err := l.waitForChanges(context.Background(), poll{after: revision(2), wait: time.Minute})
 		ended <- err
 	}()
 	time.Sleep(20 * time.Millisecond)
@@ -107,11 +107,11 @@
 		time.Sleep(20 * time.Millisecond)
 		l.append(revision(2), revision(3), changesAt(3), now())
 	}()
-	answer, err := l.waitForChanges(context.Background(), revision(2), time.Minute)
+	answer, err := l.waitForChanges(context.Background(), poll{after: revision(2), wait: time.Minute})
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 1)
 	assert.Assert(t, time.Since(began) < 10*time.Second)
-	answer, err = l.waitForChanges(context.Background(), revision(3), 10*time.Millisecond)
+	answer, err = l.waitForChanges(context.Background(), poll{after: revision(3), wait: 10 * time.Millisecond})
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 0)
 }
