--- a/internal/managed/largedocument_test.go
+++ b/internal/managed/largedocument_test.go
@@ -85,7 +85,7 @@
 // never has a configuration.
 func TestProxyStartsWithALargeConfigurationOverASlowLink(t *testing.T) {
 	f := newSlowLinkFleet(t, 0)
-	f.store.Put("unrelated/large", make([]byte, 500_000))
+	f.store.Put("unrelated/large", make([]byte, 1_500_000))
 	f.addIdleRoutes(largeRoutes)
 	f.nodes = append(f.nodes, f.start(0))
 	f.awaitVersion(applyLimit)
