The proxies with the fastest links watch the store for their zone

Cause: the watchers of an availability zone were chosen by hash. A configuration of 800 KB, 1.1 MB in base64, takes the link of a small VM for a second while its callers wait; limiters of quotas on such VMs do not answer in time, and requests are refused.

Change: the setting link_mbps, from the platform's limits, is part of a proxy's entry, and the fastest links of the zone come first. Without it the choice is as before.

Test: TestProxiesWithTheFastestLinksWatch.

--- a/config/managed.go
+++ b/config/managed.go
@@ -30,6 +30,8 @@
 	LeavingGrace time.Duration
 	// MaxDescriptors is the maximum number of open file descriptors of the process.
 	MaxDescriptors int
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
+	LinkMbps float64
 	LogLevel       LogLevel
 	// LogLinesPerSecond and LogBytesPerSecond are rate limits for log lines about
 	// requests. Log lines about state changes are always written.
@@ -106,6 +108,7 @@
 		field{"shutdown_grace_s", false, d.durationInUnits(&s.ShutdownGrace, time.Second, time.Second, time.Hour)},
 		field{"leaving_grace_ms", false, d.durationInUnits(&s.LeavingGrace, time.Millisecond, 100*time.Millisecond, time.Hour)},
 		field{"max_descriptors", false, integer(d, &s.MaxDescriptors, 1000, 10_000_000)},
+		field{"link_mbps", false, d.number(&s.LinkMbps, 0, 10_000_000)},
 		field{"log_level", false, enum(d, &s.LogLevel, LogDebug, LogInfo, LogWarning, LogError)},
 		field{"log_lines_per_second", false, integer(d, &s.LogLinesPerSecond, 1, 100_000)},
 		field{"log_bytes_per_second", false, integer(d, &s.LogBytesPerSecond, 1<<10, 100<<20)},
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Address string
 	// StatusAddress is the address that serves HTTP requests of other proxies.
 	StatusAddress string
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
+	LinkMbps float64
 }
 
 // MinConnections is the minimum number of connections per gateway to an upstream:
--- a/core/gateway/watchers.go
+++ b/core/gateway/watchers.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -16,9 +19,12 @@
 )
 
 // Watchers returns the proxies of an availability zone that watch the store on
-// behalf of the others, ordered by weight. It returns nil if each proxy watches for
-// itself. The store admits a fixed number of calls per second, so the number of
-// watches must not grow with the fleet.
+// behalf of the others: those with the fastest links, ordered by bandwidth and then by
+// weight. It returns nil if each proxy watches for itself. The store admits a fixed
+// number of calls per second, so the number of watches must not grow with the fleet.
+//
+// A watcher reads each large configuration in full and sends it to its followers. On a
+// small VM that delays the statements of its callers for a second.
 func Watchers(proxies []Proxy, zone string) []Proxy {
 	var inZone []Proxy
 	for _, p := range proxies {
@@ -29,7 +35,9 @@
 	if len(inZone) < minProxiesToShare {
 		return nil
 	}
-	return orderByWeight(inZone, watchWeight)[:watchersPerZone]
+	ordered := orderByWeight(inZone, watchWeight)
+	slices.SortStableFunc(ordered, func(a, b Proxy) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+	return ordered[:watchersPerZone]
 }
 
 // watchWeight returns the rendezvous hash of a proxy as a watcher.
--- a/core/gateway/watchers_test.go
+++ b/core/gateway/watchers_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// Guards against a small VM that watches for a zone with larger ones.
+func TestProxiesWithTheFastestLinksWatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		proxies := fleetWithStatus(rapid.IntRange(minProxiesToShare, 40).Draw(t, "proxies"), 1)
+		for i := range proxies {
+			proxies[i].LinkMbps = rapid.SampledFrom([]float64{0, 10, 200}).Draw(t, "link")
+		}
+		watchers := Watchers(proxies, "zone-0")
+		assert.Equal(t, len(watchers), watchersPerZone)
+		for _, p := range proxies {
+			assert.Assert(t, Contains(watchers, p.VM) || p.LinkMbps <= watchers[watchersPerZone-1].LinkMbps)
+		}
+	})
+}
+
 // Guards against a choice that depends on the order of the list, or that replaces
 // more than one watcher when a proxy leaves.
 func TestWatchersAreStable(t *testing.T) {
--- a/internal/managed/handover.go
+++ b/internal/managed/handover.go
@@ -58,7 +58,7 @@
 // self returns this proxy's entry as listed for other proxies.
 func (p *Proxy) self() gateway.Proxy {
 	s := p.settings()
-	return gateway.Proxy{VM: entity.VM(s.VM), AvailabilityZone: s.AvailabilityZone, Region: s.Region, Address: s.PeerAddress, StatusAddress: s.MetricsAddress}
+	return gateway.Proxy{VM: entity.VM(s.VM), AvailabilityZone: s.AvailabilityZone, Region: s.Region, Address: s.PeerAddress, StatusAddress: s.MetricsAddress, LinkMbps: s.LinkMbps}
 }
 
 // gatewayAssignment describes which proxies connect to the upstreams of a database.
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -100,6 +100,8 @@
 	PeerAddress string `json:"peer_address"`
 	// StatusAddress is the HTTP address for configuration and change requests.
 	StatusAddress string `json:"status_address"`
+	// LinkMbps is the bandwidth of the VM's network link, 0 if it is unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // storeSync keeps the proxy's copy of the store up to date: configuration, upstreams, other
@@ -357,7 +359,7 @@
 	} else {
 		p.proxies.put(name, gateway.Proxy{
 			VM: entity.VM(name), AvailabilityZone: entry.AvailabilityZone, Region: entry.Region, Address: entry.PeerAddress,
-			StatusAddress: entry.StatusAddress,
+			StatusAddress: entry.StatusAddress, LinkMbps: entry.LinkMbps,
 		})
 	}
 	p.mu.Unlock()
@@ -445,7 +447,7 @@
 	}
 	self := s.proxy.self()
 	key := vmPrefix + string(self.VM)
-	value, err := json.Marshal(proxyEntry{self.AvailabilityZone, self.Region, self.Address, self.StatusAddress})
+	value, err := json.Marshal(proxyEntry{self.AvailabilityZone, self.Region, self.Address, self.StatusAddress, self.LinkMbps})
 	if err != nil {
 		return err
 	}
