Refuse implausible entries of upstreams from other writers

- an entry with the key "servers/" that could not be decoded counted as an undecodable configuration.
With strict revocation no proxy confirmed its configuration from then on, and all of them refused keys ("configuration is out of date");
- an upstream whose entry became unreadable was missing for proxies that listed the store and stayed in use at those that watched it.

Change: a key without a valid name concerns no upstream and is logged. An unreadable entry counts as removed.

--- a/config/managed.go
+++ b/config/managed.go
@@ -32,7 +32,7 @@
 	MaxDescriptors int
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
 	LinkMbps float64
-	LogLevel       LogLevel
+	LogLevel LogLevel
 	// LogLinesPerSecond and LogBytesPerSecond are rate limits for log lines about
 	// requests. Log lines about state changes are always written.
 	LogLinesPerSecond, LogBytesPerSecond int
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -357,7 +357,7 @@
 	Removed  bool
 	// Document, Member or Key is set according to the kind of entry. Document and Member
 	// are nil for a removed or undecodable entry. Key is set for entries written by
-	// proxies.
+	// proxies, and for entries with an invalid key.
 	Document *Document
 	Member   *Member
 	// MemberName is set for every member entry, also for a removed or undecodable one.
@@ -379,9 +379,12 @@
 	case c.Key != "":
 		return "proxy/" + c.Key
 	}
-	return "configuration"
+	return configurationEntry
 }
 
+// configurationEntry is the entryName of the operators' configuration.
+const configurationEntry = "configuration"
+
 // Store is the platform's key-value store.
 type Store interface {
 	// List returns all entries and the revision at which they were read. It returns
--- a/internal/managed/session_test.go
+++ b/internal/managed/session_test.go
@@ -240,6 +240,36 @@
 	}
 }
 
+// Guards against entries of other writers that count as upstreams, change the gateways of a database, stop the
+// proxies or keep them from following the store; with a proxy that watches and one that lists them.
+func TestForeignEntriesChangeNothing(t *testing.T) {
+	f := newStrictFleet(t, 2)
+	f.store.PutForeignEntries(f.group.Name)
+	f.nodes = append(f.nodes, f.start(2))
+	f.awaitListed(3)
+	time.Sleep(2 * revocationTimeout)
+	for _, n := range f.nodes {
+		assert.Equal(t, n.proxy.NotReadyReason(), "")
+		assert.Equal(t, len(n.log.find("event=configuration_expired")), 0)
+		assert.Equal(t, len(n.log.find("event=upstream_listed", "peer=foreign")), 0)
+	}
+	f.addRoute()
+	f.awaitVersion(documentLimit)
+}
+
+// Guards against an upstream that stays in use although its entry cannot be read any more, to
+// proxies that watched the change as to those that list the store.
+func TestUpstreamWhoseEntryBecomesUnreadableIsMissing(t *testing.T) {
+	f := newFleet(t, 1)
+	f.nodes[0].open(t, strictDB).mustQuery("READ item")
+	member := f.group.Member(1)
+	member.SetListed(false)
+	f.store.Put("servers/"+member.ID, []byte("{"))
+	waitFor(t, time.Second, "the upstream is missing", func() bool {
+		return len(f.nodes[0].log.find("event=upstream_missing", "peer="+member.ID)) == 1
+	})
+}
+
 // Guards against a proxy that reports databases as unknown before it has a configuration.
 func TestSessionWithoutConfiguration(t *testing.T) {
 	f := newFleet(t, 0)
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -315,10 +315,11 @@
 	for i := range changes {
 		c := &changes[i]
 		switch {
-		case c.DecodeErr != nil && c.MemberName == "":
+		case c.DecodeErr != nil && c.entryName() == configurationEntry:
 			s.refuseDocument(c)
 		case c.DecodeErr != nil:
-			p.events.entryRefused(string(c.MemberName), c.DecodeErr)
+			p.events.entryRefused(c.entryName(), c.DecodeErr)
+			p.removeMember(c.MemberName)
 		case c.Document != nil:
 			s.refusedRevision = 0
 			p.setDocument(c.Document)
