Idle sessions keep no configuration in memory

Cause: a session kept the configuration by which its caller was last identified. Most sessions are idle, and a configuration near the platform's limit takes 1 MB of text and as much again decoded: one copy for each version since the session's last statement.

Change: the session keeps the version and the organisations.

Measured: TestIdleSessionsKeepNoConfiguration fails with a session that keeps the configuration and passes.

--- a/internal/managed/identity.go
+++ b/internal/managed/identity.go
@@ -14,8 +14,11 @@
 // the key.
 type callerIdentity struct {
 	digest organisation.Digest
-	// document is the configuration by which the caller was last identified.
-	document *Document
+	// version is the version of the configuration by which the caller was last identified, 0 if
+	// another proxy identified it; directory are its organisations, nil if it has none. An idle
+	// session must not keep a whole configuration in memory.
+	version   uint64
+	directory *organisation.Directory
 	// organisation is the caller's organisation, empty if it has none.
 	organisation organisation.Name
 	// unknown is set if no organisation holds the key and the route requires one.
@@ -55,10 +58,10 @@
 	}
 	c := &s.identity
 	doc := s.proxy.document()
-	if doc == c.document {
+	if doc.Version == c.version {
 		return !c.unknown
 	}
-	c.document, c.organisation, c.unknown = doc, "", false
+	c.version, c.directory, c.organisation, c.unknown = doc.Version, doc.Organisations, "", false
 	if doc.Organisations == nil {
 		return true
 	}
@@ -104,7 +107,7 @@
 // for them.
 func (s *session) gatewayOrderKey(gateways int) uint64 {
 	o := s.organisation()
-	if o == nil || s.identity.document.Organisations.IsLarge(o, gateways) {
+	if o == nil || s.identity.directory.IsLarge(o, gateways) {
 		return uint64(now())
 	}
 	return xxhash.Sum64String(string(s.identity.organisation))
@@ -127,17 +130,12 @@
 }
 
 // organisation returns the caller's organisation in the configuration by which the caller
-// was identified, nil if it has none.
+// was identified, nil if it has none or if another proxy identified the caller.
 func (s *session) organisation() *organisation.Organisation {
-	if s.identity.document == nil {
-		// Another proxy identified the caller.
+	if s.identity.directory == nil || s.identity.organisation == "" {
 		return nil
 	}
-	directory := s.identity.document.Organisations
-	if directory == nil || s.identity.organisation == "" {
-		return nil
-	}
-	return directory.Lookup(s.identity.organisation)
+	return s.identity.directory.Lookup(s.identity.organisation)
 }
 
 // checkCaller decides whether a statement may be executed. If it reports false, the
--- a/internal/managed/identity_test.go
+++ b/internal/managed/identity_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
+	"weak"
 
 	"gotest.tools/v3/assert"
 
@@ -26,10 +28,9 @@
 	}
 	directory, err := organisation.NewDirectory(entries)
 	assert.NilError(t, err)
-	document := &Document{Organisations: directory}
 	var suspected suspectedGateways
 	order := func(name organisation.Name) []gateway.Proxy {
-		s := &session{identity: callerIdentity{organisation: name, document: document}}
+		s := &session{identity: callerIdentity{organisation: name, directory: directory}}
 		return suspected.moveSuspectedLast(gateway.OrderByDistance(gateways, gateways[0], s.gatewayOrderKey(len(gateways))))
 	}
 	used := map[entity.VM]int{}
@@ -44,3 +45,22 @@
 	suspected.add(preferred)
 	assert.Equal(t, order("acme")[len(gateways)-1].VM, preferred)
 }
+
+// Guards against idle sessions that keep every large configuration in memory by which they were
+// identified.
+func TestIdleSessionsKeepNoConfiguration(t *testing.T) {
+	p := newTestProxy(nil)
+	var sessions []*session
+	var replaced []weak.Pointer[Document]
+	for version := range uint64(3) {
+		doc := &Document{Version: version + 1, Source: make([]byte, 1<<20)}
+		p.setDocument(doc)
+		replaced = append(replaced, weak.Make(doc))
+		idle := &session{proxy: p}
+		assert.Assert(t, idle.identify())
+		sessions = append(sessions, idle)
+	}
+	runtime.GC()
+	assert.Assert(t, replaced[0].Value() == nil && replaced[1].Value() == nil)
+	runtime.KeepAlive(sessions)
+}
