--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -150,10 +150,8 @@
 	assert.NilError(f.t, err)
 	settings.PeerAddress = peers.Addr().String()
 	status := httptest.NewUnstartedServer(nil)
-	var incoming *standin.Link
-	if f.linkBandwidth > 0 {
-		incoming = standin.NewLink(f.linkBandwidth)
-		status.Listener = standin.NewLink(f.linkBandwidth).Listener(status.Listener)
+	if outgoing := f.newLink(); outgoing != nil {
+		status.Listener = outgoing.Listener(status.Listener)
 	}
 	settings.MetricsAddress = status.Listener.Addr().String()
 	if f.adjust != nil {
@@ -168,7 +166,7 @@
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
 	n := &node{settings: settings, log: lines, done: make(chan error, 1)}
 	n.proxy = managed.New(managed.Options{
-		Settings: &settings, Store: platform.NewStoreClient(f.store.AddressFor(settings.VM, incoming)), Protocol: platform.LineProtocol{VM: settings.VM},
+		Settings: &settings, Store: platform.NewStoreClient(f.store.AddressFor(settings.VM, f.newLink())), Protocol: platform.LineProtocol{VM: settings.VM},
 		Promoter: platform.NewPromotionClient(f.store.Address()), Peers: &cuttablePeers{platform.NewPeerClient(), n}, NewCaller: n.accept, Log: log,
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	})
@@ -210,6 +208,14 @@
 	return n
 }
 
+// newLink returns a link of linkBandwidth, nil if that is not limited.
+func (f *fleet) newLink() *standin.Link {
+	if f.linkBandwidth == 0 {
+		return nil
+	}
+	return standin.NewLink(f.linkBandwidth)
+}
+
 // cuttablePeers fails while its proxy is cut off.
 type cuttablePeers struct {
 	managed.Peers
--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -473,7 +473,21 @@
 }
 
 func runRandom(t *testing.T, seed uint64) {
-	newFaultTest(newFleet(t, 3), seed).run(seed)
+	f := newFleet(t, 0)
+	f.varyConfiguration(seed)
+	for i := range 3 {
+		f.nodes = append(f.nodes, f.start(i))
+	}
+	newFaultTest(f, seed).run(seed)
+}
+
+// varyConfiguration gives every second seed a configuration near the platform's limit, over
+// slow links. It is called before the proxies start.
+func (f *fleet) varyConfiguration(seed uint64) {
+	if seed%2 == 0 {
+		f.linkBandwidth = slowLink
+		f.addIdleRoutes(largeRoutes)
+	}
 }
 
 func newFaultTest(f *fleet, seed uint64) *faultTest {
--- a/internal/managed/soak_test.go
+++ b/internal/managed/soak_test.go
@@ -66,6 +66,7 @@
 	}
 	s.stopsProxies, s.startNode = true, s.startDaemon
 	f.configure()
+	f.varyConfiguration(seed)
 	for i := range 3 {
 		m := f.group.Member(i)
 		r, err := relay.Start(relay.Options{Target: m.Address()})
@@ -96,7 +97,7 @@
 		"vm": vm, "availability_zone": fmt.Sprintf("zone-%d", i%3), "region": fmt.Sprintf("region-%d", i%3),
 		"availability_zones": map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 		"caller_address":     a[0], "ready_address": a[1], "peer_address": a[2], "metrics_address": a[3],
-		"store_address": s.store.AddressFor(vm, nil), "promotion_address": s.store.Address(),
+		"store_address": s.store.AddressFor(vm, s.newLink()), "promotion_address": s.store.Address(),
 		"shutdown_grace_s": soakGrace.Seconds(), "log_lines_per_second": 1000, "log_bytes_per_second": 1 << 20,
 	})
 	assert.NilError(t, err)
