Followers fetch their first configuration compressed, too

Cause: a follower without a configuration told its watcher version 0, which meant that the answer has to contain the configuration. The first configuration came in base64 to each follower.

Change: a poll says separately whether the answer is to contain the configuration; the parameters of a poll are a type of their own.

Measured: TestLargeFirstConfigurationTakesEffectOverSlowLinks fails without the change (not within 5 s, 2 of 2 runs) and passes, in force after 1.6 s.

--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -424,6 +424,21 @@
 	Age time.Duration
 }
 
+// Poll asks another proxy for the store changes after a revision.
+type Poll struct {
+	// After is the revision up to which the caller has all changes. Its epoch is 0 if it does not
+	// know it.
+	After Revision
+	// WithDocument is set if the answer is to contain a changed configuration. Otherwise it tells
+	// which version is in effect.
+	WithDocument bool
+	// Have is the version of the caller's configuration without WithDocument.
+	Have uint64
+	// Wait is how long the other proxy holds the poll if there is no change, and no later
+	// configuration than Have.
+	Wait time.Duration
+}
+
 // PeerChanges are store changes as served by another proxy.
 type PeerChanges struct {
 	Changes []Change
@@ -443,12 +458,9 @@
 	// Document returns the configuration in effect at the proxy with the given address. have
 	// is the version that the caller has, 0 if it has none.
 	Document(ctx context.Context, address string, have uint64) (PeerDocument, error)
-	// Changes returns the store changes after a revision from the proxy with the given
-	// address. If there are none it returns after wait. It returns ErrCompacted if that
-	// proxy no longer has them. have is the version of the caller's configuration: the answer
-	// tells if there is a later one, and does not wait then, but does not contain it. With 0 the
-	// answer contains a changed configuration.
-	Changes(ctx context.Context, address string, after Revision, have uint64, wait time.Duration) (PeerChanges, error)
+	// Changes returns the answer of the proxy with the given address to a poll. It returns
+	// ErrCompacted if that proxy no longer has the changes.
+	Changes(ctx context.Context, address string, poll Poll) (PeerChanges, error)
 }
 
 // Errors returned by Promoter.
--- a/internal/managed/follower_test.go
+++ b/internal/managed/follower_test.go
@@ -23,8 +23,8 @@
 	pause time.Duration
 }
 
-func (p *logPeers) Changes(ctx context.Context, _ string, after Revision, have uint64, wait time.Duration) (PeerChanges, error) {
-	answer, err := p.log.waitForChanges(ctx, poll{after, have, wait})
+func (p *logPeers) Changes(ctx context.Context, _ string, poll Poll) (PeerChanges, error) {
+	answer, err := p.log.waitForChanges(ctx, poll)
 	if err != nil {
 		return PeerChanges{}, err
 	}
@@ -116,8 +116,8 @@
 	unavailable bool
 }
 
-func (p *announcingPeers) Changes(_ context.Context, _ string, after Revision, have uint64, _ time.Duration) (PeerChanges, error) {
-	answer := PeerChanges{Revision: Revision{after.Epoch, after.Number + 1}, DocumentVersion: p.document.Version}
+func (p *announcingPeers) Changes(_ context.Context, _ string, poll Poll) (PeerChanges, error) {
+	answer := PeerChanges{Revision: Revision{poll.After.Epoch, poll.After.Number + 1}, DocumentVersion: p.document.Version}
 	answer.Changes = []Change{{Revision: answer.Revision.Number, Key: vmPrefix + "vm-9", Value: []byte("{}")}}
 	return answer, nil
 }
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -229,11 +229,11 @@
 	return p.Peers.Document(ctx, address, have)
 }
 
-func (p *cuttablePeers) Changes(ctx context.Context, address string, after managed.Revision, have uint64, wait time.Duration) (managed.PeerChanges, error) {
+func (p *cuttablePeers) Changes(ctx context.Context, address string, poll managed.Poll) (managed.PeerChanges, error) {
 	if p.node.cut.Load() {
 		return managed.PeerChanges{}, net.ErrClosed
 	}
-	return p.Peers.Changes(ctx, address, after, have, wait)
+	return p.Peers.Changes(ctx, address, poll)
 }
 
 // accept records an accepted connection, so that stop can close it.
--- a/internal/managed/largedocument_test.go
+++ b/internal/managed/largedocument_test.go
@@ -34,13 +34,19 @@
 		s.StrictRevocation, s.RevocationTimeout = true, applyLimit
 	}
 	f.setOrganisations(organisationKeys)
+	f.startSharing(proxies)
+	return f
+}
+
+// startSharing starts proxies and waits until they share their watches.
+func (f *fleet) startSharing(proxies int) {
+	f.t.Helper()
 	for i := range proxies {
 		f.nodes = append(f.nodes, f.start(i))
 	}
-	waitFor(t, 15*time.Second, "proxies that follow", func() bool {
+	waitFor(f.t, 15*time.Second, "proxies that follow", func() bool {
 		return len(f.followers()) == max(0, proxies-watchingProxies)
 	})
-	return f
 }
 
 // addIdleRoutes adds routes that nobody uses.
@@ -81,6 +87,15 @@
 	}
 }
 
+// Guards against followers that get their first configuration uncompressed.
+func TestLargeFirstConfigurationTakesEffectOverSlowLinks(t *testing.T) {
+	f := newSlowLinkFleet(t, 0)
+	f.store.Remove("op/config")
+	f.startSharing(largeFleet)
+	f.addIdleRoutes(largeRoutes)
+	t.Logf("in force after %v", f.awaitVersion(applyLimit))
+}
+
 // Guards against a listing that is cut on its way, so that a proxy which starts on a small VM
 // never has a configuration.
 func TestProxyStartsWithALargeConfigurationOverASlowLink(t *testing.T) {
--- a/internal/managed/revocation_test.go
+++ b/internal/managed/revocation_test.go
@@ -180,7 +180,7 @@
 	// A proxy that knows no watcher begins to watch 0.4 s after its first listing.
 	var changes managed.PeerChanges
 	waitFor(t, 2*time.Second, "the proxy watches the store", func() bool {
-		changes, err = client.Changes(context.Background(), address, managed.Revision{Number: 1 << 40}, 0, time.Millisecond)
+		changes, err = client.Changes(context.Background(), address, managed.Poll{After: managed.Revision{Number: 1 << 40}, WithDocument: true, Wait: time.Millisecond})
 		return err == nil
 	})
 	assert.Assert(t, changes.Age > 0 && changes.Age < revocationTimeout)
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -48,40 +48,31 @@
 	return &count
 }
 
-// poll is the question of a follower to its watcher.
-type poll struct {
-	// after is the revision of the follower. Its epoch is 0 if the follower does not know it.
-	after Revision
-	// have is the version of the follower's configuration, 0 if the answer is to contain the
-	// configuration.
-	have uint64
-	wait time.Duration
-}
-
 // readPoll decodes the parameters after, epoch, have and wait_ms. The last three are
 // optional: proxies of earlier versions do not send all of them.
-func readPoll(r *http.Request) (poll, error) {
-	q := poll{wait: pollWait}
+func readPoll(r *http.Request) (Poll, error) {
+	q := Poll{Wait: pollWait, WithDocument: true}
 	var err error
-	if q.after.Number, err = strconv.ParseUint(r.FormValue("after"), 10, 64); err != nil {
-		return poll{}, errors.New("after is not a revision")
+	if q.After.Number, err = strconv.ParseUint(r.FormValue("after"), 10, 64); err != nil {
+		return Poll{}, errors.New("after is not a revision")
 	}
 	if text := r.FormValue("epoch"); text != "" {
-		if q.after.Epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return poll{}, errors.New("epoch is not a number")
+		if q.After.Epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return Poll{}, errors.New("epoch is not a number")
 		}
 	}
 	if text := r.FormValue("have"); text != "" {
-		if q.have, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return poll{}, errors.New("have is not a version")
+		q.WithDocument = false
+		if q.Have, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return Poll{}, errors.New("have is not a version")
 		}
 	}
 	if text := r.FormValue("wait_ms"); text != "" {
 		count, err := strconv.ParseUint(text, 10, 32)
 		if err != nil {
-			return poll{}, errors.New("wait_ms is not a number")
+			return Poll{}, errors.New("wait_ms is not a number")
 		}
-		q.wait = min(q.wait, time.Duration(count)*time.Millisecond)
+		q.Wait = min(q.Wait, time.Duration(count)*time.Millisecond)
 	}
 	return q, nil
 }
@@ -97,8 +88,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if q.have != 0 && q.have < p.document().Version {
-		q.wait = 0
+	if !q.WithDocument && q.Have < p.document().Version {
+		q.Wait = 0
 	}
 	answer, err := p.watchLog.waitForChanges(r.Context(), q)
 	switch {
@@ -109,7 +100,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	if q.have != 0 {
+	if !q.WithDocument {
 		// The configuration is read after the log, so it includes what the log shows.
 		answer.DocumentVersion = p.document().Version
 	}
@@ -209,7 +200,11 @@
 	wait := s.waitForPoll(sent)
 	ctx, cancel := withAnswerWait(ctx, wait+pollSlack)
 	defer cancel()
-	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, s.revision, s.versionForPoll(), wait)
+	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, Poll{
+		After: s.revision, Have: s.proxy.document().Version, Wait: wait,
+		// If this proxy could not decode a configuration, fetching it again would not help.
+		WithDocument: s.refusedRevision != 0,
+	})
 	if err != nil {
 		return update{}, err
 	}
@@ -232,16 +227,6 @@
 	}, nil
 }
 
-// versionForPoll returns the version of the configuration that a watcher is told. It is 0, so
-// that the configuration comes with the changes, if this proxy could not decode one: another
-// attempt would not help.
-func (s *storeSync) versionForPoll() uint64 {
-	if s.refusedRevision != 0 {
-		return 0
-	}
-	return s.proxy.document().Version
-}
-
 // fetchDocument fetches the configuration that an update announces, unless this proxy has it.
 func (s *storeSync) fetchDocument(ctx context.Context, u *update) error {
 	p := s.proxy
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -145,11 +145,11 @@
 
 // waitForChanges returns the answer to a poll: what changesSince returns, after waiting for the
 // first change.
-func (l *watchLog) waitForChanges(ctx context.Context, q poll) (ChangesResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.wait)
+func (l *watchLog) waitForChanges(ctx context.Context, q Poll) (ChangesResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
 	for {
-		answer, changed, err := l.changesSince(q.after, q.have == 0)
+		answer, changed, err := l.changesSince(q.After, q.WithDocument)
 		if err != nil || changed == nil {
 			return answer, err
 		}
@@ -157,7 +157,7 @@
 		case <-changed:
 		case <-ctx.Done():
 			// The last contact with the store may have become too old in the meantime.
-			answer, _, err = l.changesSince(q.after, q.have == 0)
+			answer, _, err = l.changesSince(q.After, q.WithDocument)
 			return answer, err
 		}
 	}
--- a/internal/managed/watchlog_test.go
+++ b/internal/managed/watchlog_test.go
@@ -90,7 +90,7 @@
 
 	ended := make(chan error, 1)
 	go func() {
-		_, err := l.waitForChanges(context.Background(), poll{after: revision(2), wait: time.Minute})
+		_, err := l.waitForChanges(context.Background(), Poll{After: revision(2), Wait: time.Minute})
 		ended <- err
 	}()
 	time.Sleep(20 * time.Millisecond)
@@ -107,11 +107,11 @@
 		time.Sleep(20 * time.Millisecond)
 		l.append(revision(2), revision(3), changesAt(3), now())
 	}()
-	answer, err := l.waitForChanges(context.Background(), poll{after: revision(2), wait: time.Minute})
+	answer, err := l.waitForChanges(context.Background(), Poll{After: revision(2), Wait: time.Minute})
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 1)
 	assert.Assert(t, time.Since(began) < 10*time.Second)
-	answer, err = l.waitForChanges(context.Background(), poll{after: revision(3), wait: 10 * time.Millisecond})
+	answer, err = l.waitForChanges(context.Background(), Poll{After: revision(3), Wait: 10 * time.Millisecond})
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.Entries), 0)
 }
