Allow a watcher 2 s to begin sending a configuration; a long answer counts as contact

Cause: two limits that many followers or a small link would exceed. A watcher with 24 followers and a link of 20 Mbit/s sends 1.7 MB of compressed configurations at once, so that the last of them begins after 0.6 s; the limit was 0.5 s, and the follower would read 1.1 MB from the store instead. A watcher that has had no answer from the store for 2.5 s refuses its followers; a long answer to its watch counted only when it was complete.

Change: the limit is 2 s, as for a watcher that does not answer a poll. Each part of an answer counts as contact.

Measured: no failure was seen; the figures are worked out.

--- a/internal/managed/answerwait.go
+++ b/internal/managed/answerwait.go
@@ -27,6 +27,8 @@
 // one and ask for it again would use more of the link that is too slow for it.
 type answerWait struct {
 	cancel context.CancelCauseFunc
+	// onProgress, which may be nil, is called whenever a part of the answer arrives.
+	onProgress func()
 	// noAnswer fires unless the answer begins; stalled and tooSlow are started then.
 	noAnswer, stalled, tooSlow *time.Timer
 }
@@ -34,10 +36,11 @@
 type answerWaitKey struct{}
 
 // withAnswerWait returns a context for a call whose answer must begin within the given time.
-// The returned function must be called when the call has ended.
-func withAnswerWait(ctx context.Context, begin time.Duration) (context.Context, context.CancelFunc) {
+// onProgress, which may be nil, is called whenever a part of it arrives. The returned function
+// must be called when the call has ended.
+func withAnswerWait(ctx context.Context, begin time.Duration, onProgress func()) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &answerWait{cancel: cancel}
+	w := &answerWait{cancel: cancel, onProgress: onProgress}
 	w.noAnswer = time.AfterFunc(begin, func() { cancel(errNoAnswer) })
 	return context.WithValue(ctx, answerWaitKey{}, w), func() {
 		w.stop()
@@ -54,6 +57,9 @@
 }
 
 func (w *answerWait) received() {
+	if w.onProgress != nil {
+		w.onProgress()
+	}
 	if w.stalled != nil {
 		w.stalled.Reset(answerStall)
 		return
--- a/internal/managed/relay.go
+++ b/internal/managed/relay.go
@@ -117,7 +117,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := withAnswerWait(ctx, p.relayTimeout())
+	ctx, cancel := withAnswerWait(ctx, p.relayTimeout(), nil)
 	defer cancel()
 	sent, have := now(), p.document().Version
 	answer, err := p.options.Peers.Document(ctx, peer.StatusAddress, have)
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -198,7 +198,7 @@
 func (s *storeSync) pollWatcher(ctx context.Context, watcher gateway.Proxy) (update, error) {
 	sent := now()
 	wait := s.waitForPoll(sent)
-	ctx, cancel := withAnswerWait(ctx, wait+pollSlack)
+	ctx, cancel := withAnswerWait(ctx, wait+pollSlack, nil)
 	defer cancel()
 	answer, err := s.proxy.options.Peers.Changes(ctx, watcher.StatusAddress, Poll{
 		After: s.revision, Have: s.proxy.document().Version, Wait: wait,
@@ -234,7 +234,7 @@
 	if u.documentVersion <= have {
 		return nil
 	}
-	ctx, cancel := withAnswerWait(ctx, pollSlack)
+	ctx, cancel := withAnswerWait(ctx, pollWait+pollSlack, nil)
 	defer cancel()
 	answer, err := p.options.Peers.Document(ctx, u.watcher.StatusAddress, have)
 	if err != nil {
@@ -252,7 +252,8 @@
 func (s *storeSync) watchStore(ctx context.Context) (update, error) {
 	sent := now()
 	wait := s.waitForWatch(sent)
-	ctx, cancel := withAnswerWait(ctx, wait+watchSlack)
+	// A long answer that is arriving shows that the store can be reached.
+	ctx, cancel := withAnswerWait(ctx, wait+watchSlack, s.proxy.watchLog.recordContact)
 	defer cancel()
 	s.cancelWatch.Store(&cancel)
 	defer s.cancelWatch.Store(nil)
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -260,7 +260,7 @@
 
 // list reads all entries. Known entries that are not listed are removed.
 func (s *storeSync) list(ctx context.Context) error {
-	ctx, cancel := withAnswerWait(ctx, 2*storeTimeout)
+	ctx, cancel := withAnswerWait(ctx, 2*storeTimeout, nil)
 	defer cancel()
 	sent := now()
 	changes, revision, err := s.proxy.options.Store.List(ctx)
