--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -371,19 +371,13 @@
 	Source []byte
 }
 
-// entryName identifies the entry among those that concern the proxies.
-func (c *Change) entryName() string {
-	switch {
-	case c.MemberName != "":
-		return "upstream/" + string(c.MemberName)
-	case c.Key != "":
-		return "proxy/" + c.Key
-	}
-	return configurationEntry
-}
+// isConfiguration reports whether the change is one of the operators' configuration.
+func (c *Change) isConfiguration() bool { return c.MemberName == "" && c.Key == "" }
 
-// configurationEntry is the entryName of the operators' configuration.
-const configurationEntry = "configuration"
+// sameEntry reports whether both changes are of one entry.
+func (c *Change) sameEntry(other *Change) bool {
+	return c.MemberName == other.MemberName && c.Key == other.Key
+}
 
 // Store is the platform's key-value store.
 type Store interface {
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -243,8 +243,8 @@
 	if answer.Document != nil {
 		p.setDocument(answer.Document)
 	}
-	if in := p.document().Version; in < u.documentVersion {
-		return fmt.Errorf("watcher announced configuration %d and served %d", u.documentVersion, in)
+	if version := p.document().Version; version < u.documentVersion {
+		return fmt.Errorf("watcher announced version %d of the configuration and served %d", u.documentVersion, version)
 	}
 	return nil
 }
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -315,10 +316,10 @@
 	for i := range changes {
 		c := &changes[i]
 		switch {
-		case c.DecodeErr != nil && c.entryName() == configurationEntry:
+		case c.DecodeErr != nil && c.isConfiguration():
 			s.refuseDocument(c)
 		case c.DecodeErr != nil:
-			p.events.entryRefused(c.entryName(), c.DecodeErr)
+			p.events.entryRefused(cmp.Or(string(c.MemberName), c.Key), c.DecodeErr)
 			p.removeMember(c.MemberName)
 		case c.Document != nil:
 			s.refusedRevision = 0
--- a/internal/managed/watchlog.go
+++ b/internal/managed/watchlog.go
@@ -22,8 +22,8 @@
 	maxLogBytes   = 4 << 20
 )
 
-// watchLog keeps the most recent change of each changed entry of the store while this proxy watches the store, for
-// proxies that poll it. It is safe for concurrent use.
+// watchLog keeps the most recent change of each changed entry of the store, while this proxy
+// watches the store, for proxies that poll it. It is safe for concurrent use.
 type watchLog struct {
 	mu sync.Mutex
 	// watching is set while this proxy reads changes directly from the store.
@@ -69,7 +69,7 @@
 	l.watching, l.lastRevision, l.lastContact = true, to, now()
 	l.confirmation.Confirm(sent, 0)
 	for i := range changes {
-		l.removeEntry(changes[i].entryName())
+		l.removeEarlier(&changes[i])
 		l.entries = append(l.entries, changes[i])
 		l.bytes += len(changes[i].Source)
 	}
@@ -83,17 +83,15 @@
 	}
 }
 
-// removeEntry removes the earlier change of an entry. A change holds the whole entry, so
-// the last one of each is enough: several versions of a large configuration in one answer would
+// removeEarlier removes the earlier change of an entry. A change holds the whole entry, so the
+// last one of each is enough: several versions of a large configuration in one answer would
 // take the links of small VMs for seconds. The mutex is held.
-func (l *watchLog) removeEntry(name string) {
-	l.entries = slices.DeleteFunc(l.entries, func(c Change) bool {
-		if c.entryName() != name {
-			return false
-		}
-		l.bytes -= len(c.Source)
-		return true
-	})
+func (l *watchLog) removeEarlier(change *Change) {
+	i := slices.IndexFunc(l.entries, func(c Change) bool { return c.sameEntry(change) })
+	if i >= 0 {
+		l.bytes -= len(l.entries[i].Source)
+		l.entries = slices.Delete(l.entries, i, i+1)
+	}
 }
 
 // recordContact records that the store answered a call other than a watch.
