--- a/internal/managed/largedocument_test.go
+++ b/internal/managed/largedocument_test.go
@@ -90,7 +90,7 @@
 // Guards against followers that get their first configuration uncompressed.
 func TestLargeFirstConfigurationTakesEffectOverSlowLinks(t *testing.T) {
 	f := newSlowLinkFleet(t, 0)
-	f.store.Remove("op/config")
+	f.store.RemoveConfiguration()
 	f.startSharing(largeFleet)
 	f.addIdleRoutes(largeRoutes)
 	t.Logf("in force after %v", f.awaitVersion(applyLimit))
--- a/internal/managed/session_test.go
+++ b/internal/managed/session_test.go
@@ -264,7 +264,7 @@
 	f.nodes[0].open(t, strictDB).mustQuery("READ item")
 	member := f.group.Member(1)
 	member.SetListed(false)
-	f.store.Put("servers/"+member.ID, []byte("{"))
+	f.store.PutEntry(member.ID, []byte("{"))
 	waitFor(t, time.Second, "the upstream is missing", func() bool {
 		return len(f.nodes[0].log.find("event=upstream_missing", "peer="+member.ID)) == 1
 	})
