--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*run) (string, error){
 	"lost":    runLost,
 	"recover": runRecover,
+	"foreign": runForeign,
 	"pinned":  runPinned,
 }
 
--- a/review/harness/recover.go
+++ b/review/harness/recover.go
@@ -54,8 +54,17 @@
 	if r.trouble {
 		r.lose(r.serverNamed(order.target, servers))
 	}
+	return r.checkRecovery(began, fault, back)
+}
+
+// observedTime is how long requests are counted after the recovery time.
+const observedTime = 25 * time.Second
+
+// checkRecovery compares what was served before the final fault, from began on, with what is
+// served later than the recovery time after the machines are back.
+func (r *run) checkRecovery(began, fault, back time.Time) (string, error) {
 	from := back.Add(recoveryTime)
-	time.Sleep(time.Until(from.Add(25 * time.Second)))
+	time.Sleep(time.Until(from.Add(observedTime)))
 	for _, w := range r.writers {
 		w.stop()
 	}
