--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -348,6 +348,16 @@
 	return promotionOrder{}, errors.New("no promotion was ordered")
 }
 
+// recordExecutions records what the servers ran, in order.
+func (r *run) recordExecutions() {
+	if r.group == nil {
+		return
+	}
+	for _, e := range r.group.Executions() {
+		r.record.printf("server %s ran %s %s for %s, log at %d.%d, session values %q, committed %v", e.Member, e.ID, e.Text, e.User, e.Term, e.Offset, e.Variables, e.Committed)
+	}
+}
+
 // serverNamed returns a server of the group.
 func (r *run) serverNamed(id string, count int) *standin.Member {
 	for i := range count {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -75,6 +75,7 @@
 
 // finish records and prints the result and returns the exit code.
 func (r *run) finish(code int, text string) int {
+	r.recordExecutions()
 	r.record.printf("result %d %s", code, text)
 	fmt.Println(text)
 	return code
