A takeover reads the members that were added meanwhile

Callers saw: writes that had been acknowledged read back as missing.

Cause: the claim of a takeover excludes a second holder, but says nothing about how old the holder's list of members is. A proxy that the store turned away for 5.5 s knew only upstreams that had been replaced since. As soon as the store served it again it acquired the claim, found that none of "its" three members led, and had one of them promoted over the healthy primary, 1.4 s before it read what had changed. Its log shows the order: takeover_began and promotion_ordered before upstream_listed of the replacements.

Change: the holder of a claim asks the store for all changes after the revision that it has applied and adds the members that it does not know, once before it pauses members and once before each order of a promotion. A member that was added in between may have acknowledged commits; the takeover goes on with it as with any other. If the store does not answer, nothing is ordered. This costs two calls to the store for each takeover. Log line members_outdated.

--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -303,6 +303,10 @@
 	e.stateChanged("proxies_changed", logrus.Fields{"proxies": count})
 }
 
+func (e *events) membersOutdated(db entity.Database, added int, applied, read Revision) {
+	e.stateChanged("members_outdated", logrus.Fields{"database": db, "added": added, "applied": applied.Number, "read": read.Number})
+}
+
 func (e *events) takeoverBegan(db entity.Database, reason string, fence uint64) {
 	e.stateChanged("takeover_began", logrus.Fields{"database": db, "reason": reason, "fence": fence})
 }
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -112,8 +112,24 @@
 
 func newFleet(t testing.TB, proxies int) *fleet {
 	t.Helper()
-	group, err := standin.NewGroup("shop", "zone-0", "zone-1", "zone-2")
+	return newReplacementFleet(t, proxies, 0)
+}
+
+// newReplacementFleet returns a fleet with a number of upstreams that are not in use yet, beside
+// those of newFleet. addReplacement puts one into use.
+func newReplacementFleet(t testing.TB, proxies, replacements int) *fleet {
+	t.Helper()
+	zones := []string{"zone-0", "zone-1", "zone-2"}
+	for i := range replacements {
+		zones = append(zones, zones[i])
+	}
+	group, err := standin.NewGroup("shop", zones...)
 	assert.NilError(t, err)
+	for i := range replacements {
+		m := group.Member(groupSize + i)
+		m.SetListed(false)
+		m.SetReplicationStopped(true)
+	}
 	f := &fleet{t: t, group: group, store: standin.NewStore(group), connections: 34}
 	f.routes = []standin.Route{
 		route(strictDB, managed.StrictConsistency, 0, 500*time.Millisecond),
@@ -128,6 +144,38 @@
 	return f
 }
 
+// groupSize is the number of upstreams in use at the start of a test.
+const groupSize = 3
+
+// addReplacement puts an upstream into use that replaces another one. It receives the log first.
+func (f *fleet) addReplacement(m *standin.Member) {
+	m.SetReplicationStopped(false)
+	m.SetListed(true)
+}
+
+// write makes writes at a proxy until the returned function is called.
+func (f *fleet) write(n *node) (stop func()) {
+	c := n.open(f.t, strictDB)
+	ending, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := 0; ; i++ {
+			select {
+			case <-ending:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			if _, err := c.try(fmt.Sprintf("WRITE item-%d v", i)); err != nil {
+				return
+			}
+		}
+	}()
+	return func() {
+		close(ending)
+		<-ended
+	}
+}
+
 // route returns a route with the given consistency, rank and target latency.
 func route(name string, consistency managed.Consistency, rank int, target time.Duration) standin.Route {
 	return standin.Route{Name: name, Consistency: consistency, Rank: rank, TargetLatency: target}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -66,6 +66,9 @@
 	firstListingDone atomic.Bool
 	// storeEpoch is the epoch of the store that is applied, nil before the first listing.
 	storeEpoch atomic.Pointer[epochStart]
+	// appliedRevision is the revision of the store up to which all changes are applied, nil
+	// before the first listing.
+	appliedRevision atomic.Pointer[Revision]
 	// drainStarted is closed when the shutdown begins.
 	drainStarted chan struct{}
 
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -224,7 +224,7 @@
 		s.source.RecordFailure(now(), u.watcher.VM, false)
 		return
 	}
-	s.revision = u.revision
+	s.setRevision(u.revision)
 	s.confirm(u.sent, u.age)
 }
 
@@ -272,7 +272,8 @@
 	s.proxy.events.storeListed(revision, changes)
 	s.proxy.markUnlisted(changes)
 	s.apply(changes, revision.Epoch)
-	s.revision, s.mustList = revision, false
+	s.setRevision(revision)
+	s.mustList = false
 	s.confirm(sent, 0)
 	if s.startedAt == 0 {
 		// A proxy that cannot register serves its callers as well.
@@ -289,6 +290,12 @@
 	return nil
 }
 
+// setRevision records that all changes up to a revision are applied.
+func (s *storeSync) setRevision(revision Revision) {
+	s.revision = revision
+	s.proxy.appliedRevision.Store(&revision)
+}
+
 // recordEpoch records the epoch of a listing.
 func (s *storeSync) recordEpoch(listed Revision) {
 	if before := s.proxy.storeEpoch.Load(); before != nil && before.epoch == listed.Epoch {
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -86,6 +86,8 @@
 	// promotionPending is set once a promotion was sent whose outcome is unknown. Members stay
 	// paused then, since the promotion may be carried out late.
 	promotionPending bool
+	// membersRead is set once the members that other proxies may use by now have been read.
+	membersRead bool
 	// fenceRefused is set once the platform refused the fencing token. The token is not
 	// used again; the next takeover gets a new one.
 	fenceRefused bool
@@ -97,6 +99,12 @@
 		if t.fenceRefused || !t.renewClaim() {
 			break
 		}
+		if !t.membersRead {
+			if _, t.membersRead = t.readNewMembers(); !t.membersRead {
+				time.Sleep(takeoverPollInterval)
+				continue
+			}
+		}
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
 		decision := takeover.Decide(t.view(reports))
 		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence())
@@ -111,7 +119,13 @@
 			t.claim.release()
 			return
 		case takeover.StepPromote:
-			if t.promote(reports, decision.Target) {
+			// A member that was added since the replicas were paused receives commits.
+			added, ok := t.readNewMembers()
+			if !ok {
+				time.Sleep(takeoverPollInterval)
+				continue
+			}
+			if added == 0 && t.promote(reports, decision.Target) {
 				// The claim is left to expire, so that no other proxy promotes within its
 				// lease time.
 				return
@@ -121,6 +135,16 @@
 	t.giveUp()
 }
 
+// readNewMembers adds the members that this proxy does not know yet and returns their number.
+// It reports false if the store does not answer.
+func (t *takeoverRun) readNewMembers() (added int, ok bool) {
+	added, err := t.db.readNewMembers()
+	if err != nil {
+		t.db.proxy.events.storeFailed("read_members", err)
+	}
+	return added, err == nil
+}
+
 // membersToQuery returns the members to query. A lost primary is skipped: waiting for it
 // would prolong the write outage.
 func (t *takeoverRun) membersToQuery() []*member {
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -279,3 +279,34 @@
 		tokens[token] = true
 	}
 }
+
+// Guards against a promotion over the primary by a proxy that the store turned away while all
+// members that it knows were replaced.
+func TestTakeoverReadsTheMembersAddedMeanwhile(t *testing.T) {
+	f := newReplacementFleet(t, 2, groupSize)
+	f.group.PromoteDelay = 500 * time.Millisecond
+	defer f.write(f.nodes[0])()
+	rejected := f.nodes[1].settings.VM
+	f.nodes[1].open(t, strictDB).mustQuery("READ item")
+	f.store.RejectProxy(rejected)
+	replaced := map[string]bool{}
+	for i := range groupSize {
+		f.addReplacement(f.group.Member(groupSize + i))
+		replaced[f.group.Member(i).ID] = true
+	}
+	time.Sleep(500 * time.Millisecond)
+	old := f.group.Primary()
+	for i := range groupSize {
+		f.group.Member(i).SetLeaving(true)
+	}
+	f.awaitNewPrimary(old)
+	// The other proxy's claim ends after its lease.
+	time.Sleep(3500 * time.Millisecond)
+	f.store.AcceptProxy(rejected)
+	time.Sleep(3 * time.Second)
+	for _, p := range f.store.Promotions() {
+		assert.Assert(t, !replaced[strings.Fields(p)[1]], "%s", p)
+	}
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+	assert.Assert(t, !replaced[f.group.Primary().ID])
+}
