A switchover keeps the commits of a lost successor

Callers saw: writes that had been acknowledged read back as missing.

Cause: a switchover pauses all replicas but the successor. If the successor was lost after its promotion was ordered, only it and the healthy primary held the commits since then, and nothing compared the others with the primary:

- core/takeover asked a successor only to hold what the other listed replicas hold.
With all of them paused since before, that was true at once.
- checkReplication took replicas that were paused for a primary that sends them nothing, and started a failover of a primary that answered.
- A takeover whose accepted order had no effect went on without a limit.

Evidence: takeover_began reason="primary does not replicate" 5 s after the pauses, "replica shop-core-2 does not answer" until the takeover gave up, then promotion_ordered shop-core-3 without a preceding pause.

- The successor of a healthy primary must also hold what the primary held when the members and their pauses last changed (View.Required).
- If no replica that stays receives the log, pauses are lifted before anything else is waited for (StepResume).
An order of an earlier takeover must not be carried out after that, so the primary is promoted again with a newer token, and 2.5 s pass, as for any accepted order.
The end of abandoned pauses, which did not wait and did not look at the members after the claim was acquired, does the same.
- Paused replicas are no evidence against the primary.
- An accepted order without effect after 2.5 s is over, and a planned takeover ends after its limit.
- In a failover, a replica that was lost less than 12 s ago is waited for, if those that are left were paused before it was lost or hold less than it reported.
The wait for an unlisted replica has the same limit.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -12,13 +12,20 @@
 //   - Switchover: if a healthy primary is to be replaced, all replicas but the
 //     successor are paused. The successor keeps receiving, so writes continue until
 //     the change of primary. It is promoted once it holds everything that every
-//     other replica holds.
+//     other replica holds, and everything that the primary held when the members and
+//     their pauses last changed: a replica that was lost may have been the only one to
+//     hold a commit.
+//   - If no replica that stays receives the log of a healthy primary, because the successor
+//     was lost after the others were paused, their pauses are lifted first.
+//   - A primary that answers but sends its replicas nothing acknowledges nothing, so that it
+//     is replaced as if it were lost.
 //   - A replica that does not answer or is not listed may be the only holder of a
 //     commit. No replica is promoted until every listed replica answers and any
 //     unlisted one has been missing for maxIncompleteWait.
 //
-// A pause ends with the promotion or when a switchover is given up. It is never lifted
-// while a promotion order may still be in flight, since the order may be executed late.
+// A pause ends with the promotion, when a switchover is given up, or when its successor is
+// lost. It is never lifted while a promotion order may still be in flight, since the order may
+// be executed late.
 package takeover
 
 import (
@@ -37,26 +44,40 @@
 	// Term is the highest term that the member knows. PauseTerm is the term for
 	// which it is paused, 0 if it is not paused and receives the log.
 	Term, PauseTerm uint64
+	// PausedEarly is set if another replica may have received the log after the member was
+	// paused: an earlier takeover paused it, or a switchover did.
+	PausedEarly bool
 	// Received is the end of the log that the member holds.
 	Received entity.Position
 	// Leaving is set if the member shuts down soon. Its log is lost then.
 	Leaving bool
 }
 
-// View is the state of a group during a takeover.
+// View is the state of a group during a takeover. The fields PausedEarly of its members,
+// LeaderStalled and Required are set by Takeover.Next.
 type View struct {
 	// Leader is the primary to replace, empty if none was known when the takeover
 	// began. Term is the newest term known.
 	Leader entity.Upstream
 	Term   uint64
-	// LeaderHealthy is set if the leader answers as the primary and still replicates.
-	LeaderHealthy bool
+	// LeaderHealthy is set if the leader answers as the primary and still replicates,
+	// LeaderStalled if it answers but replicates nothing.
+	LeaderHealthy, LeaderStalled bool
+	// Required is a position that covers the commits that only a lost replica held: the end of
+	// the healthy leader's log in a report that came after the last change of the members and of
+	// their pauses, else the most advanced log that this takeover has seen at a replica.
+	Required entity.Position
 	// Members are all upstreams that are listed or were until recently.
 	Members []Member
+	// Synchronous is set if the leader acknowledges no commit that no replica holds.
+	Synchronous bool
 	// Expected is the number of members of the complete group.
 	Expected int
 	// IncompleteFor is the time for which members have been missing.
 	IncompleteFor time.Duration
+	// ReplicaLost is set if a replica that had not announced its shutdown was lost, LostFor ago.
+	ReplicaLost bool
+	LostFor     time.Duration
 }
 
 // Step is the kind of action to take next.
@@ -65,8 +86,10 @@
 const (
 	// StepWait waits for a member to answer or to catch up.
 	StepWait Step = iota
-	// StepPause pauses the members listed in Decision.Pause.
+	// StepPause pauses the members listed in Decision.Members.
 	StepPause
+	// StepResume lifts the pauses of the members listed in Decision.Members.
+	StepResume
 	// StepPromote orders the promotion of Decision.Target.
 	StepPromote
 	// StepDone ends the takeover, since Decision.Target leads, which is not the primary
@@ -74,7 +97,7 @@
 	StepDone
 )
 
-var stepNames = [...]string{"wait", "pause", "promote", "done"}
+var stepNames = [...]string{"wait", "pause", "resume", "promote", "done"}
 
 // String returns the step as it appears in logs.
 func (s Step) String() string { return stepNames[s] }
@@ -84,8 +107,8 @@
 	Step Step
 	// Target is the successor or the newer primary, empty if none is chosen yet.
 	Target entity.Upstream
-	// Pause lists the members to pause.
-	Pause []entity.Upstream
+	// Members lists the members to pause or to resume.
+	Members []entity.Upstream
 	// Term is the term for which to pause them.
 	Term   uint64
 	Reason string
@@ -109,6 +132,13 @@
 	if len(replicas) == 0 {
 		return Decision{Step: StepWait, Reason: "no replica is known"}
 	}
+	if v.LeaderHealthy {
+		// Before the wait for a replica that does not answer: it may be the successor, and the
+		// primary acknowledges nothing without it.
+		if paused := withoutReceiver(replicas); len(paused) > 0 {
+			return Decision{Step: StepResume, Members: paused, Reason: "no replica that stays receives the log"}
+		}
+	}
 	for _, m := range replicas {
 		if !m.Reached {
 			return Decision{Step: StepWait, Reason: "replica " + string(m.Name) + " does not answer"}
@@ -118,7 +148,10 @@
 		return Decision{Step: StepWait, Reason: fmt.Sprintf("only %d of %d replicas are known", known, v.Expected-1)}
 	}
 	if v.LeaderHealthy {
-		return decideSwitchover(replicas, newest)
+		return decideSwitchover(replicas, newest, v.Required)
+	}
+	if v.ReplicaLost && v.LostFor < maxIncompleteWait && mayLackCommits(&v, replicas) {
+		return Decision{Step: StepWait, Reason: "a lost replica may hold more"}
 	}
 	return decideFailover(replicas, newest)
 }
@@ -133,15 +166,49 @@
 	return replicas
 }
 
+// withoutReceiver returns the paused replicas if all replicas that answer and stay are paused,
+// else nil.
+func withoutReceiver(replicas []*Member) []entity.Upstream {
+	var paused []entity.Upstream
+	stays := false
+	for _, m := range replicas {
+		switch {
+		case !m.Reached:
+			continue
+		case m.PauseTerm != 0:
+			paused = append(paused, m.Name)
+		case !m.Leaving:
+			return nil
+		}
+		stays = stays || !m.Leaving
+	}
+	if !stays {
+		return nil
+	}
+	return paused
+}
+
+// mayLackCommits reports whether the replicas may lack a commit that a lost one held, although
+// its entry was still listed for some seconds after the loss: the primary sends them nothing, all
+// of them were paused early, or the lost one reported more than they hold.
+func mayLackCommits(v *View, replicas []*Member) bool {
+	allEarly, behind := true, true
+	for _, m := range replicas {
+		allEarly = allEarly && m.PausedEarly
+		behind = behind && m.Received.Less(v.Required)
+	}
+	return v.LeaderStalled || allEarly || behind
+}
+
 // decideSwitchover pauses all replicas but the successor and promotes the successor
-// once it has caught up.
-func decideSwitchover(replicas []*Member, newest uint64) Decision {
+// once it has caught up with them and with the required position.
+func decideSwitchover(replicas []*Member, newest uint64, required entity.Position) Decision {
 	target := successor(replicas)
 	if target == nil {
 		return Decision{Step: StepWait, Reason: "no replica stays"}
 	}
 	var pause []entity.Upstream
-	mostAdvanced := target.Received
+	mostAdvanced := required
 	for _, m := range replicas {
 		if m == target {
 			continue
@@ -154,7 +221,7 @@
 		}
 	}
 	if len(pause) > 0 {
-		return Decision{Step: StepPause, Pause: pause, Term: newest + 1, Reason: "successor is " + string(target.Name)}
+		return Decision{Step: StepPause, Members: pause, Term: newest + 1, Reason: "successor is " + string(target.Name)}
 	}
 	if target.Received.Less(mostAdvanced) {
 		return Decision{Step: StepWait, Target: target.Name, Reason: "successor catches up"}
@@ -203,7 +270,7 @@
 		}
 	}
 	if len(pause) > 0 {
-		return Decision{Step: StepPause, Pause: pause, Term: newest + 1, Reason: "primary is lost"}
+		return Decision{Step: StepPause, Members: pause, Term: newest + 1, Reason: "primary is lost"}
 	}
 	return Decision{Step: StepPromote, Target: target.Name, Reason: "primary is lost"}
 }
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -38,6 +39,19 @@
 	found := lost(replica("a", 10, 2), replica("b", 10, 2))
 	found.Leader = ""
 	found.Members[0] = Member{Name: "p", Reached: true, Primary: true, Term: 1}
+	early := func(name string, offset uint64) Member {
+		m := replica(name, offset, 2)
+		m.PausedEarly = true
+		return m
+	}
+	replicaLost := func(v View, ago time.Duration) View {
+		v.ReplicaLost, v.LostFor = true, ago
+		return v
+	}
+	stalled := replicaLost(lost(replica("a", 10, 2), replica("b", 12, 2)), 0)
+	stalled.LeaderStalled = true
+	behind := healthy(replica("a", 11, 0), replica("b", 10, 2))
+	behind.Required = pos(1, 12)
 	waited := incomplete
 	waited.IncompleteFor = maxIncompleteWait
 	for _, c := range []struct {
@@ -46,9 +60,9 @@
 		want Decision
 	}{
 		{"all replicas are paused after the primary is lost", lost(replica("a", 10, 0), replica("b", 12, 0)),
-			Decision{Step: StepPause, Pause: []entity.Upstream{"a", "b"}, Term: 2, Reason: "primary is lost"}},
+			Decision{Step: StepPause, Members: []entity.Upstream{"a", "b"}, Term: 2, Reason: "primary is lost"}},
 		{"one replica is not paused yet", lost(replica("a", 10, 2), replica("b", 12, 0)),
-			Decision{Step: StepPause, Pause: []entity.Upstream{"b"}, Term: 3, Reason: "primary is lost"}},
+			Decision{Step: StepPause, Members: []entity.Upstream{"b"}, Term: 3, Reason: "primary is lost"}},
 		{"the most advanced replica is promoted", lost(replica("a", 10, 2), replica("b", 12, 2)),
 			Decision{Step: StepPromote, Target: "b", Reason: "primary is lost"}},
 		{"a replica that does not answer may be the only holder", lost(replica("a", 10, 2), unreached),
@@ -68,13 +82,29 @@
 		{"a primary that another proxy promoted meanwhile is not replaced", healthy(replica("a", 12, 0), Member{Name: "b", Reached: true, Primary: true, Term: 1}),
 			Decision{Step: StepDone, Target: "b", Reason: "another primary leads"}},
 		{"all but the successor are paused while the primary is healthy", healthy(replica("a", 12, 0), replica("b", 10, 0)),
-			Decision{Step: StepPause, Pause: []entity.Upstream{"b"}, Term: 2, Reason: "successor is a"}},
+			Decision{Step: StepPause, Members: []entity.Upstream{"b"}, Term: 2, Reason: "successor is a"}},
 		{"the successor catches up with a paused replica", healthy(replica("a", 9, 0), replica("b", 10, 2)),
 			Decision{Step: StepWait, Target: "a", Reason: "successor catches up"}},
 		{"the successor holds everything that the other replicas hold", healthy(replica("a", 11, 0), replica("b", 10, 2)),
 			Decision{Step: StepPromote, Target: "a", Reason: "primary leaves"}},
 		{"a leaving replica is not a successor", healthy(func() Member { m := replica("a", 50, 0); m.Leaving = true; return m }(), replica("b", 10, 0)),
-			Decision{Step: StepPause, Pause: []entity.Upstream{"a"}, Term: 2, Reason: "successor is b"}},
+			Decision{Step: StepPause, Members: []entity.Upstream{"a"}, Term: 2, Reason: "successor is b"}},
+		{"the successor holds less than a lost replica may have held", behind,
+			Decision{Step: StepWait, Target: "a", Reason: "successor catches up"}},
+		{"the successor of an earlier switchover was lost", healthy(early("a", 10), early("b", 10), unreached),
+			Decision{Step: StepResume, Members: []entity.Upstream{"a", "b"}, Reason: "no replica that stays receives the log"}},
+		{"only a replica that leaves receives the log", healthy(early("a", 10), func() Member { m := replica("b", 50, 0); m.Leaving = true; return m }()),
+			Decision{Step: StepResume, Members: []entity.Upstream{"a"}, Reason: "no replica that stays receives the log"}},
+		{"the successor of an earlier switchover still receives the log", healthy(early("a", 10), replica("b", 10, 0)),
+			Decision{Step: StepPromote, Target: "b", Reason: "primary leaves"}},
+		{"the lost successor of an earlier switchover may hold more", replicaLost(lost(early("a", 10), early("b", 10)), maxIncompleteWait-1),
+			Decision{Step: StepWait, Reason: "a lost replica may hold more"}},
+		{"the lost successor of an earlier switchover does not return in time", replicaLost(lost(early("a", 10), early("b", 10)), maxIncompleteWait),
+			Decision{Step: StepPromote, Target: "a", Reason: "primary is lost"}},
+		{"the others received the log after a replica was lost", replicaLost(lost(early("a", 10), replica("b", 12, 2)), 0),
+			Decision{Step: StepPromote, Target: "b", Reason: "primary is lost"}},
+		{"a lost replica may hold more than the primary could send to the others", stalled,
+			Decision{Step: StepWait, Reason: "a lost replica may hold more"}},
 	} {
 		t.Run(c.name, func(t *testing.T) { assert.DeepEqual(t, Decide(c.view), c.want) })
 	}
@@ -143,7 +173,7 @@
 			d := Decide(s.view(t, leaving))
 			switch d.Step {
 			case StepPause:
-				for _, name := range d.Pause {
+				for _, name := range d.Members {
 					i := int(name[1] - '0')
 					if !s.down[i] && rapid.IntRange(0, 4).Draw(t, "lost order") > 0 {
 						s.pauseTerm[i] = d.Term
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -33,6 +33,9 @@
 	// memberAddedAt is when a member was last added while the group had at most groupSize
 	// members. membersChangedAt is when the set of members last changed.
 	memberAddedAt, membersChangedAt entity.Time
+	// replicaLostAt is when a replica was last removed that had not announced its shutdown, 0 if
+	// none was.
+	replicaLostAt entity.Time
 	// lastStatementAt is when this proxy last queued a statement for the upstreams itself.
 	lastStatementAt entity.Time
 	// sharingProxies is the number of proxies that share the upstreams' connections,
--- a/internal/managed/idlecheck.go
+++ b/internal/managed/idlecheck.go
@@ -89,14 +89,8 @@
 	if claimed {
 		return
 	}
-	var paused []*member
-	for _, r := range mon.queryMembers(Command{Kind: CommandStatus}, d.allMembers()) {
-		if r.member != primary && r.err == nil && r.status.PauseTerm != 0 {
-			paused = append(paused, r.member)
-		}
-	}
-	if len(paused) > 0 {
-		mon.liftAbandonedPauses(primary, paused)
+	if paused := pausedReplicas(mon.queryMembers(Command{Kind: CommandStatus}, d.allMembers()), primary); len(paused) > 0 {
+		mon.liftAbandonedPauses(primary)
 	}
 }
 
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -175,10 +175,10 @@
 		mon.checkPrimary(primary)
 		return suspectInterval
 	case leaving:
-		mon.takeOver(primary, true, "leaving")
+		mon.takeOver(primary, primaryLeaves)
 		return suspectInterval
 	case movePrimary:
-		mon.takeOver(primary, true, "replicas lag")
+		mon.takeOver(primary, replicasLag)
 		return suspectInterval
 	}
 	mon.noPrimarySince = 0
@@ -221,6 +221,9 @@
 			continue
 		}
 		m.removed = true
+		if m != d.primary && !m.entry.Primary && m.leavingSince == 0 {
+			d.replicaLostAt = at
+		}
 		for _, conn := range m.idleConns {
 			d.dropConnLocked(conn)
 		}
--- a/internal/managed/primary.go
+++ b/internal/managed/primary.go
@@ -54,7 +54,7 @@
 		return
 	}
 	if now().Sub(mon.noPrimarySince) > noPrimaryWait {
-		mon.takeOver(nil, false, "no member leads")
+		mon.takeOver(nil, primaryUnknown)
 	}
 }
 
@@ -121,7 +121,7 @@
 	if mon.adoptNewestPrimary(mon.queryMembers(Command{Kind: CommandStatus}, mon.allExcept(primary))) {
 		return
 	}
-	mon.takeOver(primary, false, "primary does not answer")
+	mon.takeOver(primary, primaryUnanswered)
 }
 
 // checkReplication clears the suspicion against a primary that answers, unless its replicas
@@ -131,11 +131,22 @@
 	if !mon.primarySuspected.Load() {
 		return
 	}
-	if !mon.db.replicatesSynchronously() || !mon.replicationStalled(primary, primaryStatus) {
+	if !mon.db.replicatesSynchronously() {
 		mon.primarySuspected.Store(false)
 		return
 	}
-	mon.takeOver(primary, false, "primary does not replicate")
+	before := mon.queryMembers(Command{Kind: CommandStatus}, mon.allExcept(primary))
+	if len(pausedReplicas(before, primary)) > 0 {
+		// The replicas receive nothing because of their pauses, which a failed proxy has left
+		// unless a takeover is in progress.
+		mon.liftAbandonedPauses(primary)
+		return
+	}
+	if !mon.replicationStalled(primary, primaryStatus, before) {
+		mon.primarySuspected.Store(false)
+		return
+	}
+	mon.takeOver(primary, primaryStalled)
 }
 
 func (d *database) replicatesSynchronously() bool {
@@ -144,14 +155,14 @@
 	return d.limits.SyncReplicas > 0
 }
 
-// replicationStalled reports whether the replicas are behind the primary and receive
-// nothing within stallWindow.
-func (mon *monitor) replicationStalled(primary *member, primaryStatus Status) bool {
-	before, ok := mon.furthestReplica(primary)
+// replicationStalled reports whether the replicas, whose first reports are given, are behind the
+// primary and receive nothing within stallWindow.
+func (mon *monitor) replicationStalled(primary *member, primaryStatus Status, reports []statusReport) bool {
+	before, ok := furthestReceived(reports)
 	if !ok || !before.Less(primaryStatus.Received) {
 		return false
 	}
 	time.Sleep(stallWindow)
-	after, ok := mon.furthestReplica(primary)
+	after, ok := furthestReceived(mon.queryMembers(Command{Kind: CommandStatus}, mon.allExcept(primary)))
 	return ok && after == before
 }
--- a/internal/managed/query.go
+++ b/internal/managed/query.go
@@ -116,13 +116,14 @@
 	return slices.DeleteFunc(mon.db.allMembers(), func(m *member) bool { return m == primary })
 }
 
-// furthestReplica returns the highest position received by any replica. It reports false if
-// no replica answers.
-func (mon *monitor) furthestReplica(primary *member) (entity.Position, bool) {
+// furthestReceived returns the highest position received by any of the members. It reports false
+// if none answered.
+func furthestReceived(reports []statusReport) (entity.Position, bool) {
 	var furthest entity.Position
 	found := false
-	for _, r := range mon.queryMembers(Command{Kind: CommandStatus}, mon.db.allMembers()) {
-		if r.member == primary || r.err != nil {
+	for i := range reports {
+		r := &reports[i]
+		if r.err != nil {
 			continue
 		}
 		found = true
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// takeoverLimit bounds one takeover unless a promotion is pending. If it expires, another
-	// proxy may be able to reach members that this one cannot.
+	// takeoverLimit bounds one takeover, unless the promotion of the successor of a lost primary
+	// is pending. If it expires, another proxy may be able to reach members that this one cannot.
 	takeoverLimit = 2500 * time.Millisecond
 	// takeoverPollInterval is the interval between status queries during a takeover.
 	takeoverPollInterval = 40 * time.Millisecond
@@ -26,24 +26,46 @@
 	claimMargin = promoteTimeout
 )
 
-// takeOver replaces a primary, nil if none is known, if this proxy acquires the claim.
-// planned is set if that primary is healthy. Another member may have become the believed
-// primary by the time the claim is acquired.
-func (mon *monitor) takeOver(replaced *member, planned bool, reason string) {
-	d := mon.db
-	if now() < mon.nextTakeover || !d.membersSettled() {
+// takeoverReason is why a primary is replaced.
+type takeoverReason string
+
+// The reasons. Only with the first two the primary is healthy.
+const (
+	primaryLeaves     takeoverReason = "leaving"
+	replicasLag       takeoverReason = "replicas lag"
+	primaryStalled    takeoverReason = "primary does not replicate"
+	primaryUnanswered takeoverReason = "primary does not answer"
+	primaryUnknown    takeoverReason = "no member leads"
+)
+
+// takeOver replaces a primary, nil if none is known, if this proxy acquires the claim. Another
+// member may have become the believed primary by the time the claim is acquired.
+func (mon *monitor) takeOver(replaced *member, reason takeoverReason) {
+	if now() < mon.nextTakeover || !mon.db.membersSettled() {
 		return
 	}
-	c := mon.acquireClaim("claim_takeover")
-	if c == nil {
+	t := mon.beginTakeover("claim_takeover", replaced, reason)
+	if t == nil {
 		return
 	}
-	t := &takeoverRun{monitor: mon, db: d, claim: c, replaced: replaced, planned: planned, startedAt: now()}
-	d.proxy.events.takeoverBegan(d.name, reason, c.fence())
+	mon.db.proxy.events.takeoverBegan(mon.db.name, string(reason), t.claim.fence())
 	t.run()
 	mon.misses = 0
 }
 
+// beginTakeover acquires the claim. It returns nil on failure.
+func (mon *monitor) beginTakeover(step string, replaced *member, reason takeoverReason) *takeoverRun {
+	c := mon.acquireClaim(step)
+	if c == nil {
+		return nil
+	}
+	return &takeoverRun{
+		monitor: mon, db: mon.db, claim: c, reason: reason, replaced: replaced, startedAt: now(), renewedAt: now(),
+		planned:  reason == primaryLeaves || reason == replicasLag,
+		progress: takeover.New(reason == primaryStalled), paused: map[entity.Upstream]*member{},
+	}
+}
+
 // acquireClaim acquires the claim of the database. It returns nil on failure.
 func (mon *monitor) acquireClaim(step string) *claim {
 	mon.nextTakeover = now().Add(takeoverDelay())
@@ -74,17 +96,21 @@
 	monitor *monitor
 	db      *database
 	claim   *claim
+	reason  takeoverReason
 	// replaced is the primary to replace, nil if none was known. A primary that becomes
 	// known during the takeover ends it, unless that one does not answer either.
 	replaced *member
-	// planned is set while replaced is healthy.
+	// planned is set while replaced answers as the healthy primary.
 	planned   bool
+	progress  *takeover.Takeover
 	startedAt entity.Time
 	renewedAt entity.Time
 	// paused are the members that this takeover tried to pause.
 	paused map[entity.Upstream]*member
-	// promotionPending is set once a promotion was sent whose outcome is unknown. Members stay
-	// paused then, since the promotion may be carried out late.
+	// fenceUsed is set once a promotion was sent with the claim's current fencing token.
+	fenceUsed bool
+	// promotionPending is set while a promotion without an answer may still be carried out late.
+	// Members stay paused then.
 	promotionPending bool
 	// membersRead is set once the members that other proxies may use by now have been read.
 	membersRead bool
@@ -94,8 +120,7 @@
 }
 
 func (t *takeoverRun) run() {
-	t.renewedAt = t.startedAt
-	for now().Sub(t.startedAt) < takeoverLimit || t.promotionPending {
+	for now().Sub(t.startedAt) < takeoverLimit || t.promotionPending && !t.planned {
 		if t.fenceRefused || !t.renewClaim() {
 			break
 		}
@@ -106,13 +131,15 @@
 			}
 		}
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
-		decision := takeover.Decide(t.view(reports))
+		decision := t.progress.Next(now(), t.view(reports))
 		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence())
 		switch decision.Step {
 		case takeover.StepWait:
 			time.Sleep(takeoverPollInterval)
 		case takeover.StepPause:
-			t.pause(reports, decision)
+			t.pause(membersNamed(reports, decision.Members), decision.Term)
+		case takeover.StepResume:
+			t.resume(membersNamed(reports, decision.Members))
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
 			t.liftPauses()
@@ -146,8 +173,12 @@
 }
 
 // membersToQuery returns the members to query. A lost primary is skipped: waiting for it
-// would prolong the write outage.
+// would prolong the write outage. The monitor does nothing else during a takeover, so members
+// whose entries have expired are removed here.
 func (t *takeoverRun) membersToQuery() []*member {
+	t.db.mu.Lock()
+	t.db.removeExpiredMembers(now())
+	t.db.mu.Unlock()
 	members := t.db.allMembers()
 	if t.planned {
 		return members
@@ -172,10 +203,14 @@
 	d := t.db
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	at := now()
 	v := takeover.View{
 		Term:          d.primaryTerm,
 		Expected:      groupSize,
-		IncompleteFor: now().Sub(d.membersChangedAt),
+		Synchronous:   d.limits.SyncReplicas > 0,
+		IncompleteFor: at.Sub(d.membersChangedAt),
+		ReplicaLost:   d.replicaLostAt != 0,
+		LostFor:       at.Sub(d.replicaLostAt),
 	}
 	if t.replaced != nil && !t.planned {
 		v.Members = append(v.Members, takeover.Member{Name: t.replaced.name})
@@ -206,44 +241,93 @@
 // groupSize is the number of members of a complete group.
 const groupSize = 3
 
-func (t *takeoverRun) pause(reports []statusReport, decision takeover.Decision) {
+// membersNamed returns the members with the given names among those of the reports.
+func membersNamed(reports []statusReport, names []entity.Upstream) []*member {
 	var members []*member
 	for i := range reports {
-		for _, name := range decision.Pause {
-			if reports[i].entry.Name == name {
-				members = append(members, reports[i].member)
-			}
+		if slices.Contains(names, reports[i].entry.Name) {
+			members = append(members, reports[i].member)
 		}
 	}
-	if t.paused == nil {
-		t.paused = map[entity.Upstream]*member{}
-	}
+	return members
+}
+
+func (t *takeoverRun) pause(members []*member, term uint64) {
 	for _, m := range members {
 		t.paused[m.name] = m
 	}
-	for _, r := range t.monitor.queryMembers(Command{Kind: CommandPause, Term: decision.Term}, members) {
+	for _, r := range t.monitor.queryMembers(Command{Kind: CommandPause, Term: term}, members) {
 		if r.err != nil {
 			t.db.proxy.events.memberFailed(t.db.name, r.entry.Name, "pause", r.err)
 		}
 	}
 }
 
-// promote sends the promotion and waits until the target is primary. It reports whether it
-// is.
-func (t *takeoverRun) promote(reports []statusReport, target entity.Upstream) bool {
-	if t.promotionPending {
+// resume lifts the pauses of members while the primary is healthy. An earlier order of a
+// promotion, also one of another proxy that paused them, must not be carried out after that.
+func (t *takeoverRun) resume(members []*member) {
+	earlier := slices.ContainsFunc(members, func(m *member) bool { return t.paused[m.name] == nil })
+	if (earlier || t.promotionPending) && !t.revokeOrders() {
+		time.Sleep(takeoverPollInterval)
+		return
+	}
+	for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
+		t.db.proxy.events.memberResumed(t.db.name, r.entry.Name, r.err)
+		if r.err == nil {
+			delete(t.paused, r.member.name)
+		}
+	}
+	// What follows is a new attempt, with another successor.
+	t.startedAt = now()
+}
+
+// revokeOrders makes sure that no earlier order of a promotion is carried out any more: it
+// promotes the primary, which must have been seen to lead since the claim was acquired, with a
+// newer fencing token, and waits until an order that was accepted before has taken effect. It
+// reports whether the primary still leads.
+func (t *takeoverRun) revokeOrders() bool {
+	if added, ok := t.readNewMembers(); !ok || added > 0 {
+		return false
+	}
+	if t.order(t.replaced.name) != orderAccepted {
+		return false
+	}
+	for end := now().Add(newPrimaryTimeout); now() < end; time.Sleep(suspectInterval) {
+		r := t.monitor.queryMember(t.replaced, Command{Kind: CommandStatus})
+		if r.err != nil || !r.status.Primary || !t.renewClaim() {
+			return false
+		}
+	}
+	t.promotionPending = false
+	return true
+}
+
+// orderResult is what is known of an order of a promotion.
+type orderResult int
+
+const (
+	// orderRefused orders are not carried out; some were not even sent.
+	orderRefused orderResult = iota
+	orderAccepted
+	// orderUnanswered orders may be carried out late.
+	orderUnanswered
+)
+
+// order sends the promotion of a member with an unused fencing token.
+func (t *takeoverRun) order(target entity.Upstream) orderResult {
+	if t.fenceUsed {
 		// A repeated promotion needs a new token, so that the platform refuses the earlier
 		// one if it arrives late.
 		if err := t.claim.writeKey(); err != nil {
 			t.db.proxy.events.storeFailed("renew_fence", err)
-			time.Sleep(takeoverPollInterval)
-			return false
+			return orderRefused
 		}
+		t.fenceUsed = false
 	}
 	if !t.claim.validFor(claimMargin) {
 		if err := t.claim.renew(); err != nil {
 			t.db.proxy.events.storeFailed("keep_claim", err)
-			return false
+			return orderRefused
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
@@ -252,15 +336,29 @@
 	t.db.proxy.events.promotionOrdered(t.db.name, target, t.claim.fence(), err)
 	switch {
 	case errors.Is(err, ErrNotApplied):
-		time.Sleep(takeoverPollInterval)
-		return false
+		return orderRefused
 	case errors.Is(err, ErrFenced):
 		// The target is not running, or another proxy has used a newer token.
 		t.fenceRefused = true
+		return orderRefused
+	}
+	t.fenceUsed = true
+	if err != nil {
+		t.promotionPending = true
+		return orderUnanswered
+	}
+	return orderAccepted
+}
+
+// promote orders the promotion of a member and waits until it is primary. It reports whether it
+// is. An accepted promotion that has had no effect by then never will: its target was lost.
+func (t *takeoverRun) promote(reports []statusReport, target entity.Upstream) bool {
+	result := t.order(target)
+	if result == orderRefused {
+		time.Sleep(takeoverPollInterval)
 		return false
 	}
-	t.promotionPending = true
-	if o := t.db.proxy.observer; o != nil && err == nil {
+	if o := t.db.proxy.observer; o != nil && result == orderAccepted {
 		o.metrics.ForDatabase(string(t.db.name)).CountPromotion()
 	}
 	return t.awaitNewPrimary(reports, target)
@@ -296,37 +394,62 @@
 	}
 }
 
-// giveUp ends a takeover without a promotion. Members stay paused if the primary is lost or
-// a promotion is pending; the next takeover continues from there.
+// giveUp ends a takeover without a promotion. Members stay paused if the primary does not answer
+// or a promotion is pending; the next takeover continues from there.
 func (t *takeoverRun) giveUp() {
 	t.db.proxy.events.takeoverGivenUp(t.db.name, t.claim.fence())
-	if t.planned {
+	if t.planned || t.reason == primaryStalled {
 		t.liftPauses()
 	}
 	t.claim.release()
 }
 
-// liftAbandonedPauses resumes replicas left paused by a failed proxy. It first promotes the
-// current primary again with a newer fencing token, so that the platform refuses a late
-// promotion from that proxy.
-func (mon *monitor) liftAbandonedPauses(primary *member, paused []*member) {
-	d := mon.db
+// liftAbandonedPauses resumes replicas left paused by a failed proxy while their primary is
+// healthy.
+func (mon *monitor) liftAbandonedPauses(primary *member) {
 	if now() < mon.nextTakeover {
 		return
 	}
-	c := mon.acquireClaim("claim_release")
-	if c == nil {
+	t := mon.beginTakeover("claim_release", primary, primaryLeaves)
+	if t == nil {
 		return
 	}
-	defer c.release()
-	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
-	defer cancel()
-	err := d.proxy.options.Promoter.Promote(ctx, d.name, primary.name, d.proxy.settings().VM, c.fence())
-	d.proxy.events.promotionOrdered(d.name, primary.name, c.fence(), err)
-	if err != nil {
+	defer t.claim.release()
+	// The members are queried after the claim was acquired: another proxy may have promoted one
+	// of them until then.
+	reports := mon.queryMembers(Command{Kind: CommandStatus}, mon.db.allMembers())
+	if !leadsAlone(reports, primary) {
+		mon.adoptNewestPrimary(reports)
 		return
 	}
-	for _, r := range mon.queryMembers(Command{Kind: CommandResume}, paused) {
-		d.proxy.events.memberResumed(d.name, r.entry.Name, r.err)
+	if paused := pausedReplicas(reports, primary); len(paused) > 0 {
+		t.resume(paused)
+	}
+}
+
+// leadsAlone reports whether a member is the only one that reports to be primary.
+func leadsAlone(reports []statusReport, primary *member) bool {
+	leads := false
+	for i := range reports {
+		r := &reports[i]
+		if r.err == nil && r.status.Primary {
+			if r.member != primary {
+				return false
+			}
+			leads = true
+		}
+	}
+	return leads
+}
+
+// pausedReplicas returns the replicas that report to be paused.
+func pausedReplicas(reports []statusReport, primary *member) []*member {
+	var paused []*member
+	for i := range reports {
+		r := &reports[i]
+		if r.member != primary && r.err == nil && r.status.PauseTerm != 0 {
+			paused = append(paused, r.member)
+		}
 	}
+	return paused
 }
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -310,3 +310,61 @@
 	assert.Equal(t, len(f.group.LostCommits()), 0)
 	assert.Assert(t, !replaced[f.group.Primary().ID])
 }
+
+// Guards against a switchover that promotes a replica paused for an earlier successor, which was
+// lost: commits that only the primary and the successor hold would be lost.
+func TestLostSuccessorIsReplacedWithoutLoss(t *testing.T) {
+	f := newReplacementFleet(t, 3, 1)
+	f.group.PromoteDelay = 500 * time.Millisecond
+	for _, n := range f.nodes {
+		defer f.write(n)()
+	}
+	old := f.group.Primary()
+	f.addReplacement(f.group.Member(groupSize))
+	time.Sleep(100 * time.Millisecond)
+	old.SetLeaving(true)
+	waitFor(t, failoverLimit, "an order", func() bool { return len(f.store.Promotions()) > 0 })
+	order := strings.Fields(f.store.Promotions()[0])
+	// The successor receives commits until it is lost.
+	time.Sleep(200 * time.Millisecond)
+	f.lose(order[1])
+	for _, n := range f.nodes {
+		if n.settings.VM == order[2] {
+			n.stop()
+		}
+	}
+	f.awaitNewPrimary(old)
+	assert.Assert(t, f.group.Primary().ID != order[1])
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+	for i := range groupSize + 1 {
+		assert.Equal(t, f.group.Member(i).PausedTerm(), uint64(0))
+	}
+}
+
+// lose makes an upstream crash for good. Its entry expires as well.
+func (f *fleet) lose(id string) {
+	for i := range groupSize + 1 {
+		if m := f.group.Member(i); m.ID == id {
+			m.Crash()
+		}
+	}
+	f.store.RemoveEntry(id)
+}
+
+// Guards against a healthy primary that is replaced because its replicas are paused, and with it
+// against the loss of what it acknowledged before.
+func TestPausedReplicasAreNoReasonToReplaceThePrimary(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.nodes[0].open(t, strictDB)
+	c.mustQuery("WRITE item one")
+	f.group.Member(1).Pause(2)
+	c.mustQuery("WRITE item two")
+	f.group.Member(2).Pause(2)
+	old := f.group.Primary()
+	c.eventually(failoverLimit, "WRITE item three")
+	assert.Equal(t, f.group.Primary(), old)
+	for _, p := range f.store.Promotions() {
+		assert.Equal(t, strings.Fields(p)[1], old.ID, "%s", p)
+	}
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+}
