A statement is sent after the session values before it were accepted

Callers saw: statements that ran with other session values than those acknowledged, some with the values of another caller's session.

Cause: on a connection with other values the proxy sent DISCARD, SET and the statement together, recorded the values as set when it built the commands, and looked at the last reply only. An upstream without a free slot refuses single commands and runs the statement after them.

The same cause, replies that nobody looks at, on related paths:

- A rollback whose reply is not awaited: if the upstream refuses it, the next statement on the connection ran in the transaction of another caller.
- The rollback after a confirmation of the primary: an autocommit write of a caller ran in the proxy's own transaction, was acknowledged and rolled back with the connection.
- A refused PREPARE was recorded as prepared.
The statement does not run then; the connection was closed and the statement repeated.

Change: memberConn.applyVariables waits for the replies; a refusal as busy is retried like that of a statement, other refusals close the connection. Until all commands have succeeded the connection's values count as unknown, and other sessions discard them first. The reply to a rollback is read before the next command is sent, and a connection still in a transaction is closed. A reply that shows an open transaction after an autocommit statement ends as aborted. This takes one round trip more for a statement on a connection with other values.

The PostgreSQL daemon has no such path: it sends DISCARD ALL, SET, BEGIN and ROLLBACK on their own, reads each response, and closes the connection if one fails (internal/pgwire, prepareSession, abortLedger, endLedgerTransaction). A statement that was not prepared is part of the batch, which an error ends.

--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -36,6 +36,8 @@
 	// unanswered is set once a try got no answer, because its connection failed or could not
 	// be opened.
 	unanswered bool
+	// setupRefusals counts the tries in which the upstream refused the session's variables.
+	setupRefusals int
 	// rolledBack is set once the primary itself lacked the minimum position: the session's
 	// last position was rolled back by a promotion.
 	rolledBack bool
@@ -100,11 +102,17 @@
 			return reply, reply.Code != CodeNone
 		}
 	}
+	limit := a.replyDeadline(p, writes)
+	if reply, final, ok := a.applyVariables(p, limit); !ok {
+		return reply, final
+	}
 	if reply, final, ok := a.recheckCaller(p); !ok {
 		return reply, final
 	}
+	a.session.stages.floor = floor
 	sent := now()
-	reply, err := a.exchange(p, statement, floor, a.replyDeadline(p, writes))
+	defer addElapsed(&a.session.stages.run, sent)
+	reply, err := p.conn.run(wallTime(limit, sent), &a.session.state, statement, floor)
 	if err != nil {
 		p.connFailed(err)
 		return a.handleConnFailure(writes, err)
@@ -112,17 +120,39 @@
 	return a.handleReply(p, reply, writes, sent)
 }
 
-// exchange sends the statement, preceded by the commands that set up the session's state.
-func (a *attempt) exchange(p *permit, statement *Statement, floor entity.Position, limit entity.Time) (Reply, error) {
-	s := &a.session.state
-	defer addElapsed(&a.session.stages.run, now())
-	a.session.stages.floor = floor
-	commands := append(p.conn.sessionSetup(s, statement), s.command(statement, floor))
-	replies, err := p.conn.exchange(wallTime(limit, now()), commands...)
-	if err != nil {
-		return Reply{}, err
+// maxSetupRefusals bounds the connections tried for a statement whose session variables the
+// upstream refuses for another reason than being busy.
+const maxSetupRefusals = 2
+
+// applyVariables sets the session's variables on the permit's connection. If that fails, the
+// statement must not be sent: applyVariables releases the permit and reports false with the
+// reply; final is false if the statement should be tried again.
+func (a *attempt) applyVariables(p *permit, limit entity.Time) (reply Reply, final, ok bool) {
+	began := now()
+	defer addElapsed(&a.session.stages.run, began)
+	refused, err := p.conn.applyVariables(wallTime(limit, began), &a.session.state)
+	switch {
+	case err != nil:
+		p.connFailed(err)
+		a.unanswered = true
+		if a.expired() {
+			return errorReply(CodeBusy, "not run: "+err.Error()), true, false
+		}
+		return Reply{}, false, false
+	case refused.Code == CodeNone:
+		return Reply{}, false, true
+	case refused.Code == CodeBusy:
+		reply, final = a.handleReply(p, refused, false, began)
+		return reply, final, false
 	}
-	return replies[len(replies)-1], nil
+	a.db.endPermit(p, false)
+	a.setupRefusals++
+	reply = errorReply(CodeBusy, fmt.Sprintf("not run: the upstream refused a session value with %s: %s", refused.Code, refused.Text))
+	if a.setupRefusals >= maxSetupRefusals {
+		return reply, true, false
+	}
+	reply, final = a.retryOrReturn(reply)
+	return reply, final, false
 }
 
 const (
@@ -263,6 +293,11 @@
 // the statement should be retried.
 func (a *attempt) handleReply(p *permit, reply Reply, writes bool, sent entity.Time) (Reply, bool) {
 	d := a.db
+	if reply.State != StateIdle {
+		// The upstream had not ended an earlier transaction. It rolls back with the connection.
+		d.endPermit(p, false)
+		return errorReply(CodeAborted, "rolled back: "+errTransactionOpen.Error()), true
+	}
 	switch reply.Code {
 	case CodeNone:
 		if writes {
--- a/internal/managed/memberconn.go
+++ b/internal/managed/memberconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -23,29 +24,33 @@
 	// organisation is the organisation for which the connection was opened, empty if it was
 	// opened for the proxy itself or for callers without an organisation.
 	organisation organisation.Name
-	// variablesKey encodes the session variables set on the connection; see sessionState.
+	// variablesKey encodes the session variables set on the connection; see sessionState. It is
+	// unknownVariables while some of the commands that set them may not have run.
 	variablesKey string
 	prepared     map[string]struct{}
 	// owner is the session whose variables are set. Variables are never unset, so the
 	// owner's own changes need no DISCARD first.
 	owner *sessionState
-	// unreadReplies is the number of outstanding replies to commands sent by sendOnly. They
-	// are read and dropped before the next exchange.
-	unreadReplies int
-	lastUsed      entity.Time
+	// rollbackUnread is set while the reply to a rollback sent by sendRollback is outstanding. It
+	// is read before the next command is sent.
+	rollbackUnread bool
+	lastUsed       entity.Time
 	// pooled is set if the connection counts towards the member's openConns.
 	pooled bool
 }
 
+// unknownVariables is a variablesKey that no session has.
+const unknownVariables = "\n"
+
+var errTransactionOpen = errors.New("the upstream did not end the connection's last transaction")
+
 // exchange sends commands and returns their replies in the same order.
 func (c *memberConn) exchange(deadline time.Time, commands ...Command) ([]Reply, error) {
-	if err := c.upstream.Send(deadline, commands...); err != nil {
+	if err := c.awaitRollback(deadline); err != nil {
 		return nil, err
 	}
-	for ; c.unreadReplies > 0; c.unreadReplies-- {
-		if _, err := c.upstream.Receive(deadline); err != nil {
-			return nil, err
-		}
+	if err := c.upstream.Send(deadline, commands...); err != nil {
+		return nil, err
 	}
 	replies := make([]Reply, len(commands))
 	for i := range commands {
@@ -58,23 +63,40 @@
 	return replies, nil
 }
 
-// sendOnly sends a command without waiting; the next exchange reads and drops its reply.
-func (c *memberConn) sendOnly(deadline time.Time, command Command) error {
-	if err := c.upstream.Send(deadline, command); err != nil {
+// sendRollback sends a rollback without waiting for its reply.
+func (c *memberConn) sendRollback(deadline time.Time) error {
+	if err := c.upstream.Send(deadline, Command{Kind: CommandRollback}); err != nil {
 		return err
 	}
-	c.unreadReplies++
+	c.rollbackUnread = true
+	return nil
+}
+
+// awaitRollback reads the reply to a rollback sent by sendRollback. If the upstream refused it,
+// the next statement would run in the transaction of another caller.
+func (c *memberConn) awaitRollback(deadline time.Time) error {
+	if !c.rollbackUnread {
+		return nil
+	}
+	reply, err := c.upstream.Receive(deadline)
+	if err != nil {
+		return err
+	}
+	c.rollbackUnread = false
+	if reply.State != StateIdle {
+		return errTransactionOpen
+	}
 	return nil
 }
 
 // status sends a status, pause or resume command and returns the member's replication
 // status.
 func (c *memberConn) status(protocol Protocol, deadline time.Time, command Command) (Status, error) {
-	replies, err := c.exchange(deadline, command)
+	reply, err := c.runCommand(deadline, command)
 	if err != nil {
 		return Status{}, err
 	}
-	return protocol.DecodeStatus(replies[0])
+	return protocol.DecodeStatus(reply)
 }
 
 // preparedName derives the name of a prepared statement from its content, so that sessions
@@ -87,34 +109,75 @@
 	return prefix + strconv.FormatUint(xxhash.Sum64String(template), 36)
 }
 
-// sessionSetup returns the commands that apply the session's state to the connection before
-// a statement, and records that state as applied. A nil statement needs no prepared
-// statement.
-func (c *memberConn) sessionSetup(s *sessionState, statement *Statement) []Command {
+// applyVariables sets the session's variables on the connection. It waits until they are set:
+// an upstream that refuses one of the commands still runs a statement sent after it. It returns
+// the first reply with an error code, if there is one.
+func (c *memberConn) applyVariables(deadline time.Time, s *sessionState) (refused Reply, err error) {
+	if c.variablesKey == s.variablesKey {
+		return Reply{}, c.awaitRollback(deadline)
+	}
 	var commands []Command
-	if c.variablesKey != s.variablesKey {
-		if c.variablesKey != "" && c.owner != s {
-			commands = append(commands, Command{Kind: CommandDiscard})
-			c.prepared = nil
-		}
-		for _, v := range s.variables {
-			commands = append(commands, Command{Kind: CommandSet, Name: v.name, Value: v.value})
+	discards := c.variablesKey != "" && c.owner != s
+	if discards {
+		commands = append(commands, Command{Kind: CommandDiscard})
+	}
+	for _, v := range s.variables {
+		commands = append(commands, Command{Kind: CommandSet, Name: v.name, Value: v.value})
+	}
+	c.variablesKey, c.owner = unknownVariables, s
+	if discards {
+		c.owner, c.prepared = nil, nil
+	}
+	replies, err := c.exchange(deadline, commands...)
+	if err != nil {
+		return Reply{}, err
+	}
+	for i := range replies {
+		if replies[i].Code != CodeNone {
+			return replies[i], nil
 		}
-		c.variablesKey, c.owner = s.variablesKey, s
 	}
-	if statement == nil || statement.Kind != StatementExecute {
-		return commands
+	c.variablesKey, c.owner = s.variablesKey, s
+	return Reply{}, nil
+}
+
+// run runs a statement, after applyVariables. A statement that needs a prepared statement that
+// the connection lacks is sent together with it: without it the upstream does not run it, so the
+// reply may be the one that refuses to prepare.
+func (c *memberConn) run(deadline time.Time, s *sessionState, statement *Statement, floor entity.Position) (Reply, error) {
+	command := s.command(statement, floor)
+	if statement.Kind != StatementExecute {
+		return c.runCommand(deadline, command)
+	}
+	if _, known := c.prepared[command.Name]; known {
+		return c.runCommand(deadline, command)
 	}
 	p := s.prepared[statement.Name]
-	name := preparedName(p.template, p.writes)
-	if _, known := c.prepared[name]; !known {
-		commands = append(commands, Command{Kind: CommandPrepare, Name: name, Value: p.template, Writes: p.writes})
-		if c.prepared == nil {
-			c.prepared = map[string]struct{}{}
+	replies, err := c.exchange(deadline, Command{Kind: CommandPrepare, Name: command.Name, Value: p.template, Writes: p.writes}, command)
+	if err != nil {
+		return Reply{}, err
+	}
+	prepared, reply := replies[0], replies[1]
+	if prepared.Code != CodeNone {
+		if reply.Code == CodeUnknownStatement {
+			reply.Code, reply.Text = prepared.Code, prepared.Text
 		}
-		c.prepared[name] = struct{}{}
+		return reply, nil
+	}
+	if c.prepared == nil {
+		c.prepared = map[string]struct{}{}
+	}
+	c.prepared[command.Name] = struct{}{}
+	return reply, nil
+}
+
+// runCommand sends a command and returns its reply.
+func (c *memberConn) runCommand(deadline time.Time, command Command) (Reply, error) {
+	replies, err := c.exchange(deadline, command)
+	if err != nil {
+		return Reply{}, err
 	}
-	return commands
+	return replies[0], nil
 }
 
 // dialMember opens a connection for an organisation, empty for the proxy's own use. It is
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return false, err
 	}
+	if replies[1].State != StateIdle {
+		return false, errTransactionOpen
+	}
 	if replies[0].Code != CodeNone {
 		d.recordNotPrimary(conn.member)
 		return false, nil
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -128,18 +128,19 @@
 		}
 		command.MinPosition = floor
 	}
+	if reply, final, ok := a.applyVariables(p, a.deadline); !ok {
+		return reply, final
+	}
 	if reply, final, ok := a.recheckCaller(p); !ok {
 		return reply, final
 	}
 	sent := now()
 	defer addElapsed(&t.session.stages.run, sent)
-	commands := append(p.conn.sessionSetup(&t.session.state, nil), command)
-	replies, err := p.conn.exchange(wallTime(a.deadline, now()), commands...)
+	reply, err := p.conn.runCommand(wallTime(a.deadline, sent), command)
 	if err != nil {
 		p.connFailed(err)
 		return a.handleConnFailure(false, err)
 	}
-	reply := replies[len(replies)-1]
 	if reply.Code != CodeNone {
 		return a.handleReply(p, reply, false, sent)
 	}
@@ -171,13 +172,10 @@
 			return s.failTransaction(statement, s.changedReply()), s.transactionState()
 		}
 		s.stages.tries++
-		commands := append(t.conn.sessionSetup(&s.state, statement), s.state.command(statement, entity.Position{}))
-		sent := now()
-		replies, err := t.conn.exchange(wallTime(a.deadline, now()), commands...)
+		reply, sent, err := t.run(statement, a.deadline)
 		if err != nil {
-			return t.handleConnFailure(statement, err)
+			return t.handleConnFailure(statement, err, sent != 0)
 		}
-		reply := replies[len(replies)-1]
 		if reply.Code == CodeBusy && reply.State == StateOpen && !a.expired() {
 			time.Sleep(min(retryDelay, a.deadline.Sub(now())))
 			continue
@@ -191,9 +189,22 @@
 	}
 }
 
+// run sets the session's variables on the transaction's connection and runs a statement. It
+// returns when that was sent, 0 if it was not, which is so if the upstream refuses a variable.
+func (t *transaction) run(statement *Statement, deadline entity.Time) (reply Reply, sent entity.Time, err error) {
+	state := &t.session.state
+	refused, err := t.conn.applyVariables(wallTime(deadline, now()), state)
+	if err != nil || refused.Code != CodeNone {
+		return refused, 0, err
+	}
+	sent = now()
+	reply, err = t.conn.run(wallTime(deadline, sent), state, statement, entity.Position{})
+	return reply, sent, err
+}
+
 // handleConnFailure fails the transaction after its connection failed. The upstream rolls
 // back a transaction whose connection closes, unless the commit was already sent.
-func (t *transaction) handleConnFailure(statement *Statement, err error) (Reply, TransactionState) {
+func (t *transaction) handleConnFailure(statement *Statement, err error, sent bool) (Reply, TransactionState) {
 	m := t.conn.member
 	t.dropConn()
 	d := t.db
@@ -207,7 +218,7 @@
 	}
 	d.mu.Unlock()
 	t.markFailed("")
-	if statement.Kind == StatementCommit {
+	if statement.Kind == StatementCommit && sent {
 		return t.replyAfterFailure(statement, errorReply(CodeInDoubt, "no answer to the commit: "+err.Error()))
 	}
 	return t.replyAfterFailure(statement, errorReply(CodeAborted, "rolled back, the upstream's connection failed: "+err.Error()))
@@ -278,7 +289,7 @@
 	if t.conn == nil {
 		return
 	}
-	if err := t.conn.sendOnly(time.Now().Add(rollbackTimeout), Command{Kind: CommandRollback}); err != nil {
+	if err := t.conn.sendRollback(time.Now().Add(rollbackTimeout)); err != nil {
 		t.dropConn()
 		return
 	}
