Set session values together with the confirmation of the primary and BEGIN

Change: the values are sent together with the empty transaction that confirms the primary and with the BEGIN of a transaction, which run no statement of the caller. If a value is refused, such a BEGIN is rolled back.

--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -141,18 +141,24 @@
 		return Reply{}, false, false
 	case refused.Code == CodeNone:
 		return Reply{}, false, true
-	case refused.Code == CodeBusy:
-		reply, final = a.handleReply(p, refused, false, began)
-		return reply, final, false
+	}
+	reply, final = a.handleRefusedVariables(p, refused)
+	return reply, final, false
+}
+
+// handleRefusedVariables handles a permit on whose connection the session's variables could not
+// be set. The statement was not sent.
+func (a *attempt) handleRefusedVariables(p *permit, refused Reply) (Reply, bool) {
+	if refused.Code == CodeBusy {
+		return a.handleReply(p, refused, false, now())
 	}
 	a.db.endPermit(p, false)
 	a.setupRefusals++
-	reply = errorReply(CodeBusy, fmt.Sprintf("not run: the upstream refused a session value with %s: %s", refused.Code, refused.Text))
+	reply := errorReply(CodeBusy, fmt.Sprintf("not run: the upstream refused a session value with %s: %s", refused.Code, refused.Text))
 	if a.setupRefusals >= maxSetupRefusals {
-		return reply, true, false
+		return reply, true
 	}
-	reply, final = a.retryOrReturn(reply)
-	return reply, final, false
+	return a.retryOrReturn(reply)
 }
 
 const (
@@ -234,10 +240,11 @@
 // statement's remaining time divided by it.
 const connectTimeDivisor = 2
 
-// confirmPrimary confirms over the permit's connection that its member is the primary.
-func (a *attempt) confirmPrimary(p *permit) (bool, error) {
+// confirmPrimary confirms over the permit's connection that its member is the primary. The
+// session, nil if it is not to use the connection next, gets its variables set.
+func (a *attempt) confirmPrimary(p *permit, s *sessionState) (bool, error) {
 	defer addElapsed(&a.session.stages.confirm, now())
-	return a.db.confirmPrimary(p.conn, wallTime(a.deadline, now()))
+	return a.db.confirmPrimary(p.conn, s, wallTime(a.deadline, now()))
 }
 
 // queueDeadline returns the latest start time of the statement. A caller that is refused
@@ -433,7 +440,7 @@
 	if err := a.connect(p); err != nil {
 		return a.handleDialFailure(p, err)
 	}
-	ok, err := a.confirmPrimary(p)
+	ok, err := a.confirmPrimary(p, nil)
 	if err != nil {
 		p.connFailed(err)
 		return a.handleConnFailure(false, err)
@@ -456,7 +463,7 @@
 	if newest.Sent >= a.arrived {
 		return newest.Position, true, Reply{}
 	}
-	ok, err := a.confirmPrimary(p)
+	ok, err := a.confirmPrimary(p, &a.session.state)
 	if err != nil {
 		p.connFailed(err)
 		reply, _ := a.handleConnFailure(false, err)
--- a/internal/managed/idlecheck.go
+++ b/internal/managed/idlecheck.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if isPrimary {
-		if _, err := d.confirmPrimary(p.conn, wallTime(deadline, now())); err != nil {
+		if _, err := d.confirmPrimary(p.conn, nil, wallTime(deadline, now())); err != nil {
 			p.connFailed(err)
 			return
 		}
@@ -115,7 +115,7 @@
 // connection to the pool.
 func (mon *monitor) confirmAndReturnConn(conn *memberConn) {
 	d := mon.db
-	_, err := d.confirmPrimary(conn, time.Now().Add(probeTimeout))
+	_, err := d.confirmPrimary(conn, nil, time.Now().Add(probeTimeout))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err == nil {
--- a/internal/managed/memberconn.go
+++ b/internal/managed/memberconn.go
@@ -46,7 +46,7 @@
 
 // exchange sends commands and returns their replies in the same order.
 func (c *memberConn) exchange(deadline time.Time, commands ...Command) ([]Reply, error) {
-	if err := c.awaitRollback(deadline); err != nil {
+	if err := c.awaitRollback(deadline); err != nil || len(commands) == 0 {
 		return nil, err
 	}
 	if err := c.upstream.Send(deadline, commands...); err != nil {
@@ -113,32 +113,47 @@
 // an upstream that refuses one of the commands still runs a statement sent after it. It returns
 // the first reply with an error code, if there is one.
 func (c *memberConn) applyVariables(deadline time.Time, s *sessionState) (refused Reply, err error) {
-	if c.variablesKey == s.variablesKey {
-		return Reply{}, c.awaitRollback(deadline)
-	}
-	var commands []Command
-	discards := c.variablesKey != "" && c.owner != s
-	if discards {
-		commands = append(commands, Command{Kind: CommandDiscard})
-	}
-	for _, v := range s.variables {
-		commands = append(commands, Command{Kind: CommandSet, Name: v.name, Value: v.value})
+	_, refused, err = c.exchangeWithVariables(deadline, s)
+	return refused, err
+}
+
+// exchangeWithVariables is applyVariables together with commands that run no statement of a
+// caller, whose replies it returns.
+func (c *memberConn) exchangeWithVariables(deadline time.Time, s *sessionState, commands ...Command) (replies []Reply, refused Reply, err error) {
+	setup, discards := c.variableCommands(s)
+	if len(setup) > 0 {
+		c.variablesKey, c.owner = unknownVariables, s
 	}
-	c.variablesKey, c.owner = unknownVariables, s
 	if discards {
 		c.owner, c.prepared = nil, nil
 	}
-	replies, err := c.exchange(deadline, commands...)
+	replies, err = c.exchange(deadline, append(setup, commands...)...)
 	if err != nil {
-		return Reply{}, err
+		return nil, Reply{}, err
 	}
-	for i := range replies {
+	for i := range setup {
 		if replies[i].Code != CodeNone {
-			return replies[i], nil
+			return replies[len(setup):], replies[i], nil
 		}
 	}
 	c.variablesKey, c.owner = s.variablesKey, s
-	return Reply{}, nil
+	return replies[len(setup):], Reply{}, nil
+}
+
+// variableCommands returns the commands that set the session's variables on the connection, none
+// if they are set. discards reports whether the first of them discards those of another session.
+func (c *memberConn) variableCommands(s *sessionState) (commands []Command, discards bool) {
+	if c.variablesKey == s.variablesKey {
+		return nil, false
+	}
+	discards = c.variablesKey != "" && c.owner != s
+	if discards {
+		commands = append(commands, Command{Kind: CommandDiscard})
+	}
+	for _, v := range s.variables {
+		commands = append(commands, Command{Kind: CommandSet, Name: v.name, Value: v.value})
+	}
+	return commands, discards
 }
 
 // run runs a statement, after applyVariables. A statement that needs a prepared statement that
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -123,10 +123,19 @@
 
 // confirmPrimary confirms over a connection that its member is the primary: a read-write
 // transaction can begin only there. BEGIN takes no execution slot of the upstream. It
-// reports false if the member refused.
-func (d *database) confirmPrimary(conn *memberConn, deadline time.Time) (bool, error) {
+// reports false if the member refused. It also sets the variables of a session that is to use
+// the connection next, if the upstream accepts them; the session is nil if there is none.
+func (d *database) confirmPrimary(conn *memberConn, s *sessionState, deadline time.Time) (bool, error) {
 	sent := now()
-	replies, err := conn.exchange(deadline, Command{Kind: CommandBegin}, Command{Kind: CommandRollback})
+	commands := []Command{{Kind: CommandBegin}, {Kind: CommandRollback}}
+	var replies []Reply
+	var err error
+	if s == nil {
+		replies, err = conn.exchange(deadline, commands...)
+	} else {
+		// A refusal shows again when the variables are needed.
+		replies, _, err = conn.exchangeWithVariables(deadline, s, commands...)
+	}
 	if err != nil {
 		return false, err
 	}
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -128,19 +128,27 @@
 		}
 		command.MinPosition = floor
 	}
-	if reply, final, ok := a.applyVariables(p, a.deadline); !ok {
-		return reply, final
-	}
 	if reply, final, ok := a.recheckCaller(p); !ok {
 		return reply, final
 	}
 	sent := now()
 	defer addElapsed(&t.session.stages.run, sent)
-	reply, err := p.conn.runCommand(wallTime(a.deadline, sent), command)
+	replies, refused, err := p.conn.exchangeWithVariables(wallTime(a.deadline, sent), &t.session.state, command)
 	if err != nil {
 		p.connFailed(err)
 		return a.handleConnFailure(false, err)
 	}
+	reply := replies[0]
+	if refused.Code != CodeNone {
+		if reply.State != StateIdle {
+			// The variables of another session cannot be discarded in a transaction.
+			if err := p.conn.sendRollback(time.Now().Add(rollbackTimeout)); err != nil {
+				p.connFailed(err)
+				return a.handleConnFailure(false, err)
+			}
+		}
+		return a.handleRefusedVariables(p, refused)
+	}
 	if reply.Code != CodeNone {
 		return a.handleReply(p, reply, false, sent)
 	}
