Pause members that are added while a promotion is in progress

Callers would see: an acknowledged write that is missing after a promotion.

Cause: the members are read before the order of a promotion. For up to a second until it takes effect, a member that is added receives the log and lets the primary acknowledge commits that the successor may not have received yet, or will not, if it is paused in a failover.

Change: while the proxy waits for the new primary, it pauses members that it learns of. The promotion ends all pauses; without one they are lifted like the others. What the primary acknowledges before a watch reports the member is not covered.

--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -364,23 +364,42 @@
 	return t.awaitNewPrimary(reports, target)
 }
 
+// awaitNewPrimary waits until the target is primary and reports whether it is. It pauses members
+// that are added meanwhile: what only they receive would be lost.
 func (t *takeoverRun) awaitNewPrimary(reports []statusReport, target entity.Upstream) bool {
-	var members []*member
+	members := membersNamed(reports, []entity.Upstream{target})
+	known := map[*member]bool{t.replaced: true}
 	for i := range reports {
-		if reports[i].entry.Name == target {
-			members = append(members, reports[i].member)
-		}
+		known[reports[i].member] = true
 	}
 	for end := now().Add(newPrimaryTimeout); now() < end; time.Sleep(takeoverPollInterval) {
-		answers := t.monitor.queryMembers(Command{Kind: CommandStatus}, members)
-		if t.monitor.adoptNewestPrimary(answers) {
+		if t.monitor.adoptNewestPrimary(t.monitor.queryMembers(Command{Kind: CommandStatus}, members)) {
 			return true
 		}
+		var added []*member
+		for _, m := range t.db.allMembers() {
+			if !known[m] {
+				known[m] = true
+				added = append(added, m)
+			}
+		}
+		if len(added) > 0 {
+			t.pause(added, pauseTerm(reports))
+		}
 		t.renewClaim()
 	}
 	return false
 }
 
+// pauseTerm returns a term for which members can be paused, given the reports of the others.
+func pauseTerm(reports []statusReport) uint64 {
+	newest := uint64(0)
+	for i := range reports {
+		newest = max(newest, reports[i].status.Term, reports[i].status.PauseTerm)
+	}
+	return newest + 1
+}
+
 // liftPauses resumes the members that this takeover paused, unless a promotion is pending.
 func (t *takeoverRun) liftPauses() {
 	if len(t.paused) == 0 || t.promotionPending {
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -368,3 +368,23 @@
 	}
 	assert.Equal(t, len(f.group.LostCommits()), 0)
 }
+
+// Guards against the loss of commits that only a member holds which was added while a promotion
+// was in progress.
+func TestMemberAddedDuringAPromotionLosesNoCommit(t *testing.T) {
+	f := newReplacementFleet(t, 2, 1)
+	f.group.PromoteDelay = time.Second
+	c := f.nodes[0].open(t, strictDB)
+	c.mustQuery("WRITE item kept")
+	old := f.group.Primary()
+	old.SetLeaving(true)
+	waitFor(t, failoverLimit, "an order", func() bool { return len(f.store.Promotions()) > 0 })
+	added := f.group.Member(groupSize)
+	f.addReplacement(added)
+	waitFor(t, time.Second, "a pause of the added member", func() bool { return added.PausedTerm() != 0 })
+	assert.Equal(t, f.group.Primary(), old)
+	f.awaitNewPrimary(old)
+	assert.Equal(t, added.PausedTerm(), uint64(0))
+	c.eventually(3*time.Second, "WRITE item next")
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+}
