--- a/internal/managed/random_test.go
+++ b/internal/managed/random_test.go
@@ -97,10 +97,13 @@
 	nodesMu sync.Mutex
 	// entryProxies maps the name of each session's caller to the proxy it connected to.
 	entryProxies sync.Map
-	random       *rand.Rand
-	writers      []*writerState
-	stopAt       time.Time
-	workers      sync.WaitGroup
+	// sessionValues maps the name of each session's caller to its session variables.
+	sessionValues sync.Map
+	sessionCount  atomic.Int64
+	random        *rand.Rand
+	writers       []*writerState
+	stopAt        time.Time
+	workers       sync.WaitGroup
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -150,6 +153,9 @@
 	ft := c.test
 	for i := c.firstProxy; ; i++ {
 		caller, refused, err := ft.node(i%len(ft.nodes)).dial(ft.t, c.database)
+		if err == nil && refused == nil && !ft.setSessionValue(caller) {
+			continue
+		}
 		if err == nil && refused == nil {
 			c.caller = caller
 			ft.entryProxies.Store(caller.name, fmt.Sprintf("vm-%d", i%len(ft.nodes)))
@@ -163,6 +169,29 @@
 	}
 }
 
+// setSessionValue sets a session variable that names the caller, in every second session. It
+// reports false if the session cannot be used.
+func (ft *faultTest) setSessionValue(c *caller) bool {
+	if ft.sessionCount.Add(1)%2 == 0 {
+		return true
+	}
+	if r, err := c.try("SET owner " + c.name); err != nil || r.code != managed.CodeNone {
+		return false
+	}
+	ft.sessionValues.Store(c.name, "owner="+c.name)
+	return true
+}
+
+// checkSessionValues checks that every statement ran with the variables of its session.
+func (ft *faultTest) checkSessionValues() {
+	for _, r := range ft.group.Executions() {
+		want, _ := ft.sessionValues.LoadOrStore(r.ID[:strings.LastIndex(r.ID, "-")], "")
+		if r.Variables != want {
+			ft.t.Errorf("%s %s ran with the session variables %q, its session has %q", r.ID, r.Text, r.Variables, want)
+		}
+	}
+}
+
 func (ft *faultTest) client(firstProxy int, database string) *client {
 	c := &client{test: ft, database: database, firstProxy: firstProxy}
 	c.connect()
@@ -377,6 +406,26 @@
 	ft.store.RewriteConfiguration()
 }
 
+// refusableCommands are the commands of proxies that injectRefusals makes upstreams refuse.
+var refusableCommands = []string{"SET", "DISCARD", "PREPARE", "BEGIN", "ROLLBACK"}
+
+// injectRefusals makes upstreams refuse single commands of the proxies as busy until the end of
+// the test.
+func (ft *faultTest) injectRefusals(seed uint64) {
+	defer ft.workers.Done()
+	random := rand.New(rand.NewPCG(seed, 4))
+	for time.Now().Before(ft.stopAt) {
+		command := refusableCommands[random.IntN(len(refusableCommands))]
+		ft.group.Member(random.IntN(3)).RefuseBusy(command, 1+random.IntN(3))
+		time.Sleep(time.Duration(20+random.IntN(200)) * time.Millisecond)
+	}
+	for i := range 3 {
+		for _, command := range refusableCommands {
+			ft.group.Member(i).RefuseBusy(command, 0)
+		}
+	}
+}
+
 // awaitConfiguration waits until every proxy serves a route added now. Proxies may have been
 // started just before.
 func (ft *faultTest) awaitConfiguration() {
@@ -442,8 +491,8 @@
 }
 
 // Guards against violated guarantees under random faults of upstreams and store: stale
-// reads, lost or repeated writes, refused writes that took effect, mixed transactions, and
-// proxies that do not recover or that miss a configuration. The test runs in real time, so a seed determines the faults
+// reads, lost or repeated writes, refused writes that took effect, mixed transactions and session
+// values, and proxies that do not recover or that miss a configuration. The test runs in real time, so a seed determines the faults
 // but not the interleaving.
 func TestRandomFailures(t *testing.T) {
 	for i := range *randomSeeds {
@@ -511,14 +560,16 @@
 		}
 		go ft.runReader(i/3, database, age, seed*100+uint64(i))
 	}
-	ft.workers.Add(1)
+	ft.workers.Add(2)
 	go ft.injectRestore(seed)
+	go ft.injectRefusals(seed)
 	ft.injectFaults()
 	ft.workers.Wait()
 	ft.awaitConfiguration()
 	c := ft.client(0, strictDB)
 	c.eventually(failoverLimit, "WRITE final 1")
 	ft.checkCommits()
+	ft.checkSessionValues()
 	ft.t.Logf("seed %d: %d served, promotions %d, faults %v", seed, ft.served.Load(), len(ft.store.Promotions()), ft.faults)
 }
 
