A claim outlasts an order without effect; lost replicas that return

- A takeover that gave up after an order ended its claim, so that another proxy could promote within the lease time of the claim, which docs/platform.md excludes.
After an order the claim is now left to expire, as after a promotion; the end of abandoned pauses did not do so before either.
- A lost replica that had returned was still waited for within 12 s of its loss.
It is forgotten when it is listed again.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -33,9 +33,9 @@
 	// memberAddedAt is when a member was last added while the group had at most groupSize
 	// members. membersChangedAt is when the set of members last changed.
 	memberAddedAt, membersChangedAt entity.Time
-	// replicaLostAt is when a replica was last removed that had not announced its shutdown, 0 if
-	// none was.
-	replicaLostAt entity.Time
+	// lostReplicas are the replicas that were removed without having announced their shutdown and
+	// have not returned, with the time of their removal.
+	lostReplicas map[entity.Upstream]entity.Time
 	// lastStatementAt is when this proxy last queued a statement for the upstreams itself.
 	lastStatementAt entity.Time
 	// sharingProxies is the number of proxies that share the upstreams' connections,
@@ -116,6 +116,7 @@
 		name:            name,
 		members:         map[entity.Upstream]*member{},
 		waiting:         map[entity.Handle]*waiter{},
+		lostReplicas:    map[entity.Upstream]entity.Time{},
 		connectionShare: 1,
 	}
 	d.timer = time.AfterFunc(time.Hour, d.expireWaiting)
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -86,6 +86,7 @@
 	if !known {
 		m = &member{name: entry.Name, entry: entry, distance: distance}
 		d.members[entry.Name] = m
+		delete(d.lostReplicas, entry.Name)
 		if len(d.members) <= groupSize {
 			d.memberAddedAt = at
 		}
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -222,7 +223,7 @@
 		}
 		m.removed = true
 		if m != d.primary && !m.entry.Primary && m.leavingSince == 0 {
-			d.replicaLostAt = at
+			d.recordLostReplica(at, name)
 		}
 		for _, conn := range m.idleConns {
 			d.dropConnLocked(conn)
@@ -234,6 +235,26 @@
 	}
 }
 
+// lossMemory is how long a lost replica is remembered, longer than any takeover waits for it.
+const lossMemory = time.Minute
+
+// recordLostReplica records that a replica was removed that had not announced its shutdown. The
+// mutex is held.
+func (d *database) recordLostReplica(at entity.Time, name entity.Upstream) {
+	maps.DeleteFunc(d.lostReplicas, func(_ entity.Upstream, lost entity.Time) bool { return at.Sub(lost) > lossMemory })
+	d.lostReplicas[name] = at
+}
+
+// lastReplicaLoss returns when a replica that has not returned was last removed, 0 if none was.
+// The mutex is held.
+func (d *database) lastReplicaLoss() entity.Time {
+	last := entity.Time(0)
+	for _, at := range d.lostReplicas {
+		last = max(last, at)
+	}
+	return last
+}
+
 // takeoverDelay returns a random delay before the next attempt. It spreads the attempts of
 // the proxies, so that one acquires the claim before the others try.
 func takeoverDelay() time.Duration {
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -107,8 +107,9 @@
 	renewedAt entity.Time
 	// paused are the members that this takeover tried to pause.
 	paused map[entity.Upstream]*member
-	// fenceUsed is set once a promotion was sent with the claim's current fencing token.
-	fenceUsed bool
+	// fenceUsed is set once a promotion was sent with the claim's current fencing token, ordered
+	// once one was sent with any token.
+	fenceUsed, ordered bool
 	// promotionPending is set while a promotion without an answer may still be carried out late.
 	// Members stay paused then.
 	promotionPending bool
@@ -143,7 +144,7 @@
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
 			t.liftPauses()
-			t.claim.release()
+			t.end()
 			return
 		case takeover.StepPromote:
 			// A member that was added since the replicas were paused receives commits.
@@ -209,8 +210,9 @@
 		Expected:      groupSize,
 		Synchronous:   d.limits.SyncReplicas > 0,
 		IncompleteFor: at.Sub(d.membersChangedAt),
-		ReplicaLost:   d.replicaLostAt != 0,
-		LostFor:       at.Sub(d.replicaLostAt),
+	}
+	if lost := d.lastReplicaLoss(); lost != 0 {
+		v.ReplicaLost, v.LostFor = true, at.Sub(lost)
 	}
 	if t.replaced != nil && !t.planned {
 		v.Members = append(v.Members, takeover.Member{Name: t.replaced.name})
@@ -342,7 +344,7 @@
 		t.fenceRefused = true
 		return orderRefused
 	}
-	t.fenceUsed = true
+	t.fenceUsed, t.ordered = true, true
 	if err != nil {
 		t.promotionPending = true
 		return orderUnanswered
@@ -420,7 +422,15 @@
 	if t.planned || t.reason == primaryStalled {
 		t.liftPauses()
 	}
-	t.claim.release()
+	t.end()
+}
+
+// end ends the claim. After an order it is left to expire instead, so that no other proxy
+// promotes within its lease time. This proxy may acquire it again.
+func (t *takeoverRun) end() {
+	if !t.ordered {
+		t.claim.release()
+	}
 }
 
 // liftAbandonedPauses resumes replicas left paused by a failed proxy while their primary is
@@ -433,7 +443,7 @@
 	if t == nil {
 		return
 	}
-	defer t.claim.release()
+	defer t.end()
 	// The members are queried after the claim was acquired: another proxy may have promoted one
 	// of them until then.
 	reports := mon.queryMembers(Command{Kind: CommandStatus}, mon.db.allMembers())
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -341,6 +341,36 @@
 	}
 }
 
+// Guards against promotions by two proxies within the lease time of a claim, after the order of
+// the first one had no effect.
+func TestClaimOutlastsAnOrderWithoutEffect(t *testing.T) {
+	const claimTTL = 3 * time.Second
+	f := newReplacementFleet(t, 5, 1)
+	f.group.PromoteDelay = 500 * time.Millisecond
+	for _, n := range f.nodes {
+		defer f.write(n)()
+	}
+	old := f.group.Primary()
+	f.addReplacement(f.group.Member(groupSize))
+	time.Sleep(100 * time.Millisecond)
+	old.SetLeaving(true)
+	var holders []string
+	var ordered time.Time
+	waitFor(t, 2*failoverLimit, "a new primary", func() bool {
+		for _, p := range f.store.Promotions()[len(holders):] {
+			words := strings.Fields(p)
+			if len(holders) == 0 {
+				f.lose(words[1])
+			} else if last := holders[len(holders)-1]; last != words[2] {
+				assert.Assert(t, time.Since(ordered) >= claimTTL, "%s promotes %v after %s", words[2], time.Since(ordered), last)
+			}
+			holders, ordered = append(holders, words[2]), time.Now()
+		}
+		return f.group.Primary() != old
+	})
+	assert.Equal(t, len(f.group.LostCommits()), 0)
+}
+
 // lose makes an upstream crash for good. Its entry expires as well.
 func (f *fleet) lose(id string) {
 	for i := range groupSize + 1 {
