--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -113,7 +113,8 @@
 	// promotionPending is set while a promotion without an answer may still be carried out late.
 	// Members stay paused then.
 	promotionPending bool
-	// membersRead is set once the members that other proxies may use by now have been read.
+	// membersRead is set once the members that this proxy did not know have been read from the
+	// store.
 	membersRead bool
 	// fenceRefused is set once the platform refused the fencing token. The token is not
 	// used again; the next takeover gets a new one.
--- a/internal/managed/takeover_test.go
+++ b/internal/managed/takeover_test.go
@@ -311,18 +311,25 @@
 	assert.Assert(t, !replaced[f.group.Primary().ID])
 }
 
-// Guards against a switchover that promotes a replica paused for an earlier successor, which was
-// lost: commits that only the primary and the successor hold would be lost.
-func TestLostSuccessorIsReplacedWithoutLoss(t *testing.T) {
-	f := newReplacementFleet(t, 3, 1)
+// newFleetWithLeavingPrimary returns a fleet under writes whose primary leaves after another
+// upstream was added.
+func newFleetWithLeavingPrimary(t *testing.T, proxies int) (*fleet, *standin.Member) {
+	f := newReplacementFleet(t, proxies, 1)
 	f.group.PromoteDelay = 500 * time.Millisecond
 	for _, n := range f.nodes {
-		defer f.write(n)()
+		t.Cleanup(f.write(n))
 	}
 	old := f.group.Primary()
 	f.addReplacement(f.group.Member(groupSize))
 	time.Sleep(100 * time.Millisecond)
 	old.SetLeaving(true)
+	return f, old
+}
+
+// Guards against a switchover that promotes a replica paused for an earlier successor, which was
+// lost: commits that only the primary and the successor hold would be lost.
+func TestLostSuccessorIsReplacedWithoutLoss(t *testing.T) {
+	f, old := newFleetWithLeavingPrimary(t, 3)
 	waitFor(t, failoverLimit, "an order", func() bool { return len(f.store.Promotions()) > 0 })
 	order := strings.Fields(f.store.Promotions()[0])
 	// The successor receives commits until it is lost.
@@ -345,15 +352,7 @@
 // the first one had no effect.
 func TestClaimOutlastsAnOrderWithoutEffect(t *testing.T) {
 	const claimTTL = 3 * time.Second
-	f := newReplacementFleet(t, 5, 1)
-	f.group.PromoteDelay = 500 * time.Millisecond
-	for _, n := range f.nodes {
-		defer f.write(n)()
-	}
-	old := f.group.Primary()
-	f.addReplacement(f.group.Member(groupSize))
-	time.Sleep(100 * time.Millisecond)
-	old.SetLeaving(true)
+	f, old := newFleetWithLeavingPrimary(t, 5)
 	var holders []string
 	var ordered time.Time
 	waitFor(t, 2*failoverLimit, "a new primary", func() bool {
