--- a/internal/managed/replacement_test.go
+++ b/internal/managed/replacement_test.go
@@ -124,6 +124,7 @@
 	for i := range *randomSeeds {
 		seed := *randomSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
 			r := newReplacements(t, seed)
 			for i, state := range r.writers {
 				r.workers.Add(1)
