Wait for the watches in TestDocumentSpreadsThroughRelay

It counted the watches at the moment at which all proxies had the document, but the document also reaches a proxy through the relay, before its own watch has begun.

The test now waits for two watches, and then checks for 100 ms that there are neither more nor fewer, which the one count did not show. No product code is changed.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -76,13 +76,28 @@
 		assert.NilError(t, result.Err)
 		f.awaitRevision(revision, f.proxies...)
 	}
-	assert.Equal(t, f.platform.Watches(), 2)
+	f.awaitWatches(2)
 	f.platform.SetFaults(func(faults *platformstandin.Faults) { faults.Outage = true })
 	late := f.startProxyWithoutDocument("p6")
 	f.setVMListExcept(late)
 	f.awaitRevision(2, late)
 }
 
+// awaitWatches waits until the store has a number of watches, and checks that it keeps them: a
+// document can reach all proxies through the relay before each watch has begun.
+func (f *fleet) awaitWatches(count int) {
+	f.t.Helper()
+	ctx := testContext(f.t)
+	for f.platform.Watches() != count {
+		assert.NilError(f.t, ctx.Err(), "%d watches", f.platform.Watches())
+		time.Sleep(5 * time.Millisecond)
+	}
+	for range 20 {
+		time.Sleep(5 * time.Millisecond)
+		assert.Equal(f.t, f.platform.Watches(), count)
+	}
+}
+
 // Guards against a cancel request that is lost because the load balancer sent it
 // to another proxy than the caller's.
 func TestCancelThroughAnotherProxy(t *testing.T) {
