Log the effect of promotions, the end of takeovers and delayed commits

The logs did not show when an order took effect, whether one was still unanswered when a takeover ended, and which commits the primary acknowledged late. Without them an order that takes effect late cannot be told from a successor that was behind when it was chosen. takeover_ended replaces takeover_given_up. No logic changes.

--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -117,6 +117,9 @@
 		p.connFailed(err)
 		return a.handleConnFailure(writes, err)
 	}
+	if writes && reply.Code == CodeNone {
+		a.session.reportCommit(statement, a.db, p.member, reply.Position, now().Sub(sent))
+	}
 	return a.handleReply(p, reply, writes, sent)
 }
 
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -317,8 +317,24 @@
 	}).Info("takeover decided")
 }
 
-func (e *events) takeoverGivenUp(db entity.Database, fence uint64) {
-	e.stateChanged("takeover_given_up", logrus.Fields{"database": db, "fence": fence})
+// takeoverEnded logs the end of a takeover. unanswered is set if an order may still take effect.
+func (e *events) takeoverEnded(db entity.Database, outcome string, fence uint64, unanswered bool) {
+	e.stateChanged("takeover_ended", logrus.Fields{"database": db, "outcome": outcome, "fence": fence, "unanswered": unanswered})
+}
+
+// promotionEffective logs that the target of an order leads, and the time since the order was sent.
+func (e *events) promotionEffective(db entity.Database, target entity.Upstream, fence uint64, after time.Duration) {
+	e.stateChanged("promotion_effective", logrus.Fields{"database": db, "peer": target, "fence": fence, "after_ms": after.Milliseconds()})
+}
+
+// commitWaited logs a commit whose acknowledgement the primary delayed.
+func (e *events) commitWaited(s *session, statement *Statement, db entity.Database, primary entity.Upstream, position entity.Position, took time.Duration) {
+	if !e.admit(CodeNone) {
+		return
+	}
+	e.request("commit_waited").WithFields(logrus.Fields{
+		"id": statement.ID, "route": s.databaseName, "database": db, "peer": primary, "position": position.String(), "took_ms": took.Milliseconds(),
+	}).Info("commit acknowledged late")
 }
 
 func (e *events) promotionOrdered(db entity.Database, target entity.Upstream, fence uint64, err error) {
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -145,6 +145,7 @@
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
 			t.liftPauses()
+			t.recordEnd("another primary leads")
 			t.end()
 			return
 		case takeover.StepPromote:
@@ -157,6 +158,7 @@
 			if added == 0 && t.promote(reports, decision.Target) {
 				// The claim is left to expire, so that no other proxy promotes within its
 				// lease time.
+				t.recordEnd("promoted")
 				return
 			}
 		}
@@ -370,6 +372,7 @@
 // awaitNewPrimary waits until the target is primary and reports whether it is. It pauses members
 // that are added meanwhile: what only they receive would be lost.
 func (t *takeoverRun) awaitNewPrimary(reports []statusReport, target entity.Upstream) bool {
+	began := now()
 	members := membersNamed(reports, []entity.Upstream{target})
 	known := map[*member]bool{t.replaced: true}
 	for i := range reports {
@@ -377,6 +380,7 @@
 	}
 	for end := now().Add(newPrimaryTimeout); now() < end; time.Sleep(takeoverPollInterval) {
 		if t.monitor.adoptNewestPrimary(t.monitor.queryMembers(Command{Kind: CommandStatus}, members)) {
+			t.db.proxy.events.promotionEffective(t.db.name, target, t.claim.fence(), now().Sub(began))
 			return true
 		}
 		var added []*member
@@ -419,13 +423,17 @@
 // giveUp ends a takeover without a promotion. Members stay paused if the primary does not answer
 // or a promotion is pending; the next takeover continues from there.
 func (t *takeoverRun) giveUp() {
-	t.db.proxy.events.takeoverGivenUp(t.db.name, t.claim.fence())
+	t.recordEnd("given up")
 	if t.planned || t.reason == primaryStalled {
 		t.liftPauses()
 	}
 	t.end()
 }
 
+func (t *takeoverRun) recordEnd(outcome string) {
+	t.db.proxy.events.takeoverEnded(t.db.name, outcome, t.claim.fence(), t.promotionPending)
+}
+
 // end ends the claim. After an order it is left to expire instead, so that no other proxy
 // promotes within its lease time. This proxy may acquire it again.
 func (t *takeoverRun) end() {
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -256,6 +256,7 @@
 	}
 	// The transaction has ended at the upstream.
 	if reply.Code == CodeNone && t.wrote {
+		s.reportCommit(statement, t.db, t.conn.member, reply.Position, now().Sub(sent))
 		s.state.lastWrite = reply.Position
 	}
 	t.releaseConn()
