Open orders of promotions are recorded in the store

Callers saw that writes answered with success were missing after a promotion, while orders to the platform took effect late.

Cause: an order without an answer may take effect for seconds, and only its sender knew of it. A later takeover chose its target, lifted pauses or ended as done as if there were no order. The target of an order was paused while the lost primary could still acknowledge commits to proxies that reach it.

Change: an order is written to promotion/DATABASE, without a lease, before it is sent; the revision of the record is its fencing token. Whoever takes over reads the record. The target of an open order receives the log alone and is preferred as the successor; an order without an answer is repeated for the same target at once; a takeover does not end as done while an order with another target is open. Orders leave the record when the platform refused them, when their target leads, or 2.5 s after a newer one was accepted. Abandoned pauses are lifted at once if the record shows no open order.

Tried and left: revoking the order when a lost primary returns.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -24,12 +24,22 @@
 //     unlisted one has been missing for maxIncompleteWait.
 //
 // A pause ends with the promotion, when a switchover is given up, or when its successor is
-// lost. It is never lifted while a promotion order may still be in flight, since the order may
-// be executed late.
+// lost.
+//
+// An order may take effect seconds after it was sent. While it is open, its target must hold
+// every commit that is acknowledged, also after a later takeover began:
+//
+//   - The successor of a lost primary receives the log while its order is open: the primary
+//     may be alive and reached by others.
+//   - The target of an open order is preferred as the successor.
+//   - No pause but a target's is lifted, and a takeover does not end because a primary leads,
+//     while an order with another target is open. The target then becomes the successor, or its
+//     order is revoked.
 package takeover
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -63,6 +73,8 @@
 	// LeaderHealthy is set if the leader answers as the primary and still replicates,
 	// LeaderStalled if it answers but replicates nothing.
 	LeaderHealthy, LeaderStalled bool
+	// KeepLeader is set if the leader is to be replaced only by the target of an open order.
+	KeepLeader bool
 	// Required is a position that covers the commits that only a lost replica held: the end of
 	// the healthy leader's log in a report that came after the last change of the members and of
 	// their pauses, else the most advanced log that this takeover has seen at a replica.
@@ -75,6 +87,8 @@
 	Expected int
 	// IncompleteFor is the time for which members have been missing.
 	IncompleteFor time.Duration
+	// Ordered are the targets of open orders.
+	Ordered []entity.Upstream
 	// ReplicaLost is set if a replica that had not announced its shutdown was lost, LostFor ago.
 	ReplicaLost bool
 	LostFor     time.Duration
@@ -92,12 +106,14 @@
 	StepResume
 	// StepPromote orders the promotion of Decision.Target.
 	StepPromote
+	// StepRevoke revokes all open orders but those for Decision.Target, which leads.
+	StepRevoke
 	// StepDone ends the takeover, since Decision.Target leads, which is not the primary
 	// to replace.
 	StepDone
 )
 
-var stepNames = [...]string{"wait", "pause", "resume", "promote", "done"}
+var stepNames = [...]string{"wait", "pause", "resume", "promote", "revoke", "done"}
 
 // String returns the step as it appears in logs.
 func (s Step) String() string { return stepNames[s] }
@@ -133,29 +149,105 @@
 		return Decision{Step: StepWait, Reason: "no replica is known"}
 	}
 	if v.LeaderHealthy {
+		if d, ok := decideOrdered(&v, replicas); ok {
+			return d
+		}
 		// Before the wait for a replica that does not answer: it may be the successor, and the
 		// primary acknowledges nothing without it.
 		if paused := withoutReceiver(replicas); len(paused) > 0 {
 			return Decision{Step: StepResume, Members: paused, Reason: "no replica that stays receives the log"}
 		}
 	}
+	if target := orderedSuccessor(&v, replicas); target != nil {
+		// Its order may take effect at any time, so there is nothing to wait for.
+		replicas = slices.DeleteFunc(replicas, func(m *Member) bool { return !m.Reached })
+	} else if d, ok := decideWait(&v, replicas); ok {
+		return d
+	}
+	if v.LeaderHealthy {
+		return decideSwitchover(&v, replicas, newest)
+	}
+	return decideFailover(&v, replicas, newest)
+}
+
+// decideWait waits for replicas that may be the only holders of a commit.
+func decideWait(v *View, replicas []*Member) (Decision, bool) {
 	for _, m := range replicas {
 		if !m.Reached {
-			return Decision{Step: StepWait, Reason: "replica " + string(m.Name) + " does not answer"}
+			return Decision{Step: StepWait, Reason: "replica " + string(m.Name) + " does not answer"}, true
 		}
 	}
 	if known := len(replicas); known < v.Expected-1 && v.IncompleteFor < maxIncompleteWait {
-		return Decision{Step: StepWait, Reason: fmt.Sprintf("only %d of %d replicas are known", known, v.Expected-1)}
+		return Decision{Step: StepWait, Reason: fmt.Sprintf("only %d of %d replicas are known", known, v.Expected-1)}, true
 	}
-	if v.LeaderHealthy {
-		return decideSwitchover(replicas, newest, v.Required)
+	if !v.LeaderHealthy && v.ReplicaLost && v.LostFor < maxIncompleteWait && mayLackCommits(v, replicas) {
+		return Decision{Step: StepWait, Reason: "a lost replica may hold more"}, true
+	}
+	return Decision{}, false
+}
+
+// orderedSuccessor returns the target of an open order that would be chosen among the replicas
+// that answer, nil if another one would.
+func orderedSuccessor(v *View, replicas []*Member) *Member {
+	var best *Member
+	for _, m := range replicas {
+		if !m.Reached || v.LeaderHealthy && m.Leaving {
+			continue
+		}
+		better := betterForFailover
+		if v.LeaderHealthy {
+			better = betterForSwitchover
+		}
+		if best == nil || better(v, m, best) {
+			best = m
+		}
 	}
-	if v.ReplicaLost && v.LostFor < maxIncompleteWait && mayLackCommits(&v, replicas) {
-		return Decision{Step: StepWait, Reason: "a lost replica may hold more"}
+	if best == nil || !v.isOrdered(best) {
+		return nil
 	}
-	return decideFailover(replicas, newest)
+	return best
 }
 
+// decideOrdered handles open orders while a healthy primary leads. A target that can becomes the
+// successor, also of a primary that need not be replaced: to revoke its order takes the promotion of
+// the primary, which may be carried out late as well. Otherwise the orders are revoked.
+func decideOrdered(v *View, replicas []*Member) (Decision, bool) {
+	if !v.orderedOtherThan(v.Leader) {
+		if v.KeepLeader {
+			return Decision{Step: StepDone, Target: v.Leader, Reason: "another primary leads"}, true
+		}
+		return Decision{}, false
+	}
+	if v.KeepLeader && slices.Contains(v.Ordered, v.Leader) {
+		return Decision{Step: StepRevoke, Target: v.Leader, Reason: "the target of an open order leads"}, true
+	}
+	if !slices.ContainsFunc(replicas, func(m *Member) bool { return v.isOrdered(m) && m.Reached && !m.Leaving }) {
+		return Decision{Step: StepRevoke, Target: v.Leader, Reason: "the target of an open order cannot succeed"}, true
+	}
+	if paused := v.pausedTargets(); len(paused) > 0 {
+		return Decision{Step: StepResume, Members: paused, Reason: "the target of an open order receives the log"}, true
+	}
+	return Decision{}, false
+}
+
+// orderedOtherThan reports whether an order is open with another target than the given member.
+func (v *View) orderedOtherThan(name entity.Upstream) bool {
+	return slices.ContainsFunc(v.Ordered, func(target entity.Upstream) bool { return target != name })
+}
+
+// pausedTargets returns the targets of open orders that are paused.
+func (v *View) pausedTargets() []entity.Upstream {
+	var paused []entity.Upstream
+	for i := range v.Members {
+		if m := &v.Members[i]; m.Reached && m.PauseTerm != 0 && v.isOrdered(m) {
+			paused = append(paused, m.Name)
+		}
+	}
+	return paused
+}
+
+func (v *View) isOrdered(m *Member) bool { return slices.Contains(v.Ordered, m.Name) }
+
 func replicasOf(v *View) []*Member {
 	var replicas []*Member
 	for i := range v.Members {
@@ -202,18 +294,18 @@
 
 // decideSwitchover pauses all replicas but the successor and promotes the successor
 // once it has caught up with them and with the required position.
-func decideSwitchover(replicas []*Member, newest uint64, required entity.Position) Decision {
-	target := successor(replicas)
+func decideSwitchover(v *View, replicas []*Member, newest uint64) Decision {
+	target := successor(v, replicas)
 	if target == nil {
 		return Decision{Step: StepWait, Reason: "no replica stays"}
 	}
 	var pause []entity.Upstream
-	mostAdvanced := required
+	mostAdvanced := v.Required
 	for _, m := range replicas {
 		if m == target {
 			continue
 		}
-		if m.PauseTerm == 0 {
+		if m.PauseTerm == 0 && !v.isOrdered(m) {
 			pause = append(pause, m.Name)
 		}
 		if mostAdvanced.Less(m.Received) {
@@ -230,15 +322,15 @@
 }
 
 // successor returns the replica to promote while the primary is healthy, nil if all
-// replicas are leaving: preferably one that is not paused, then the one with the
-// most advanced log.
-func successor(replicas []*Member) *Member {
+// replicas are leaving: preferably the target of an open order, then one that is not paused,
+// then the one with the most advanced log.
+func successor(v *View, replicas []*Member) *Member {
 	var best *Member
 	for _, m := range replicas {
 		if m.Leaving {
 			continue
 		}
-		if best == nil || betterForSwitchover(m, best) {
+		if best == nil || betterForSwitchover(v, m, best) {
 			best = m
 		}
 	}
@@ -247,7 +339,10 @@
 
 // betterForSwitchover reports whether a is preferable to b as the successor of a healthy
 // primary.
-func betterForSwitchover(a, b *Member) bool {
+func betterForSwitchover(v *View, a, b *Member) bool {
+	if v.isOrdered(a) != v.isOrdered(b) {
+		return v.isOrdered(a)
+	}
 	if (a.PauseTerm == 0) != (b.PauseTerm == 0) {
 		return a.PauseTerm == 0
 	}
@@ -257,30 +352,35 @@
 	return a.Name < b.Name
 }
 
-// decideFailover pauses all replicas and promotes the one with the most advanced log.
-func decideFailover(replicas []*Member, newest uint64) Decision {
+// decideFailover pauses all replicas and promotes the one with the most advanced log. The
+// target of an open order need not be paused again.
+func decideFailover(v *View, replicas []*Member, newest uint64) Decision {
 	var pause []entity.Upstream
 	var target *Member
 	for _, m := range replicas {
 		if m.PauseTerm == 0 {
 			pause = append(pause, m.Name)
 		}
-		if target == nil || betterForFailover(m, target) {
+		if target == nil || betterForFailover(v, m, target) {
 			target = m
 		}
 	}
-	if len(pause) > 0 {
+	receives := len(pause) == 1 && pause[0] == target.Name && v.isOrdered(target)
+	if len(pause) > 0 && !receives {
 		return Decision{Step: StepPause, Members: pause, Term: newest + 1, Reason: "primary is lost"}
 	}
 	return Decision{Step: StepPromote, Target: target.Name, Reason: "primary is lost"}
 }
 
 // betterForFailover reports whether a is preferable to b as the successor of a lost
-// primary: by log position, then by staying over leaving.
-func betterForFailover(a, b *Member) bool {
+// primary: by log position, then as the target of an open order, then by staying over leaving.
+func betterForFailover(v *View, a, b *Member) bool {
 	if a.Received != b.Received {
 		return b.Received.Less(a.Received)
 	}
+	if v.isOrdered(a) != v.isOrdered(b) {
+		return v.isOrdered(a)
+	}
 	if a.Leaving != b.Leaving {
 		return !a.Leaving
 	}
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -153,7 +153,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.claim.held() && !record.held() {
-		d.monitor.schedulePauseCheck()
+		delay := pauseCheckDelay
+		if len(d.orders.Targets) > 0 {
+			delay = openOrderCheckDelay
+		}
+		d.monitor.schedulePauseCheck(delay)
 	}
 	d.claim = record
 	d.monitor.wake()
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -68,7 +68,9 @@
 	// lastReadAt is when the last read that needs a minimum log position arrived.
 	lastReadAt entity.Time
 	// claim is the takeover claim seen in the store, zero if there is none.
-	claim   claimRecord
+	claim claimRecord
+	// orders are the open orders of promotions seen in the store.
+	orders  orderRecord
 	monitor *monitor
 	// primaryLatency is the latency of the last primary that was replaced, 0 if unknown.
 	primaryLatency time.Duration
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// markUnlisted treats known entries that are missing from a full listing as removed.
-func (p *Proxy) markUnlisted(listed []Change) {
+// markUnlisted treats known entries that are missing from a full listing at a revision as removed.
+func (p *Proxy) markUnlisted(listed []Change, at Revision) {
 	present := map[entity.Upstream]bool{}
 	keys := map[string]bool{}
 	for i := range listed {
@@ -71,6 +71,9 @@
 		if !keys[claimPrefix+string(name)] {
 			d.applyClaim(nil, Revision{}, true)
 		}
+		if !keys[ordersPrefix+string(name)] {
+			d.applyOrders(nil, Revision{Epoch: at.Epoch}, true)
+		}
 	}
 }
 
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -317,9 +317,16 @@
 	}).Info("takeover decided")
 }
 
-// takeoverEnded logs the end of a takeover. unanswered is set if an order may still take effect.
-func (e *events) takeoverEnded(db entity.Database, outcome string, fence uint64, unanswered bool) {
-	e.stateChanged("takeover_ended", logrus.Fields{"database": db, "outcome": outcome, "fence": fence, "unanswered": unanswered})
+// takeoverEnded logs the end of a takeover and the number of orders that may still take effect.
+func (e *events) takeoverEnded(db entity.Database, outcome string, fence uint64, open int) {
+	e.stateChanged("takeover_ended", logrus.Fields{"database": db, "outcome": outcome, "fence": fence, "open_orders": open})
+}
+
+// ordersOpen logs the targets of the open orders after they changed.
+func (e *events) ordersOpen(db entity.Database, record *orderRecord) {
+	e.stateChanged("orders_open", logrus.Fields{
+		"database": db, "targets": record.Targets, "concluded": record.Concluded, "claim": record.Claim, "revision": record.revision.Number,
+	})
 }
 
 // promotionEffective logs that the target of an order leads, and the time since the order was sent.
--- a/internal/managed/idlecheck.go
+++ b/internal/managed/idlecheck.go
@@ -79,18 +79,25 @@
 	}
 }
 
-// findAbandonedPauses looks for paused replicas while no takeover is under way, and resumes
-// them.
+// findAbandonedPauses looks for paused replicas and open orders while no takeover is under way, and
+// ends them.
 func (mon *monitor) findAbandonedPauses(primary *member) {
 	d := mon.db
 	d.mu.Lock()
-	claimed := d.claim.held()
+	claimed, ordered := d.claim.held(), len(d.orders.Targets) > 0
 	d.mu.Unlock()
-	if claimed {
-		return
-	}
-	if paused := pausedReplicas(mon.queryMembers(Command{Kind: CommandStatus}, d.allMembers()), primary); len(paused) > 0 {
-		mon.liftAbandonedPauses(primary)
+	switch {
+	case claimed:
+		// The end of the claim schedules another check.
+	case ordered:
+		mon.settleTakeover(primary)
+		if open := d.openOrders(); len(open.Targets) > 0 {
+			mon.schedulePauseCheck(openOrderCheckDelay)
+		} else {
+			mon.schedulePauseCheck(pauseCheckDelay)
+		}
+	case len(pausedReplicas(mon.queryMembers(Command{Kind: CommandStatus}, d.allMembers()), primary)) > 0:
+		mon.settleTakeover(primary)
 	}
 }
 
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -79,12 +79,14 @@
 
 func newMonitor(d *database) *monitor {
 	mon := &monitor{db: d, wakeup: make(chan struct{}, 1)}
-	mon.schedulePauseCheck()
+	mon.schedulePauseCheck(pauseCheckDelay)
 	return mon
 }
 
-// schedulePauseCheck schedules a check for abandoned pauses after pauseCheckDelay.
-func (mon *monitor) schedulePauseCheck() { mon.pauseCheckAt.Store(int64(now().Add(pauseCheckDelay))) }
+// schedulePauseCheck schedules a check for abandoned pauses and open orders.
+func (mon *monitor) schedulePauseCheck(delay time.Duration) {
+	mon.pauseCheckAt.Store(int64(now().Add(delay)))
+}
 
 // wake makes the monitor run its next check immediately.
 func (mon *monitor) wake() {
--- a/internal/managed/openorders_test.go
+++ b/internal/managed/openorders_test.go
@@ -218,3 +218,21 @@
 	time.Sleep(time.Until(ordered.Add(late + 2*l.group.PromoteDelay)))
 	l.check(slices.Delete(slices.Clone(l.nodes), i, i+1), l.group.Members()...)
 }
+
+// Guards against pauses that are lifted while an order is open, since the takeover was given up without
+// the store.
+func TestGivenUpTakeoverKeepsThePausesOfAnOpenOrder(t *testing.T) {
+	f := newFleet(t, 1)
+	n := f.nodes[0]
+	n.open(t, strictDB).mustQuery("WRITE item v")
+	f.store.DelayPromotions(2*failoverLimit, 1)
+	old := f.group.Primary()
+	old.SetLeaving(true)
+	f.awaitOrders(f.store.UnansweredPromotions, 1)
+	f.store.SetFault(standin.StoreUnavailable)
+	target := strings.Fields(f.store.UnansweredPromotions()[0])[1]
+	waitFor(t, failoverLimit, "the end of the takeover", func() bool { return len(n.log.find("event=takeover_ended")) > 0 })
+	for _, m := range f.group.Members() {
+		assert.Equal(t, m.PausedTerm() != 0, m != old && m.ID != target, "%s", m.ID)
+	}
+}
--- a/internal/managed/primary.go
+++ b/internal/managed/primary.go
@@ -61,13 +61,7 @@
 // adoptNewestPrimary makes the reported primary with the newest term the believed primary.
 // It reports false if there is none, or if its term is older than the known one.
 func (mon *monitor) adoptNewestPrimary(reports []statusReport) bool {
-	var best *statusReport
-	for i := range reports {
-		r := &reports[i]
-		if r.err == nil && r.status.Primary && (best == nil || best.status.Term < r.status.Term) {
-			best = r
-		}
-	}
+	best := newestPrimary(reports)
 	if best == nil {
 		return false
 	}
@@ -83,6 +77,18 @@
 	return true
 }
 
+// newestPrimary returns the report of the primary with the newest term, nil if there is none.
+func newestPrimary(reports []statusReport) *statusReport {
+	var best *statusReport
+	for i := range reports {
+		r := &reports[i]
+		if r.err == nil && r.status.Primary && (best == nil || best.status.Term < r.status.Term) {
+			best = r
+		}
+	}
+	return best
+}
+
 // checkPrimary queries the believed primary. After repeated failures it queries the other
 // members for a new primary, and starts a takeover if there is none.
 func (mon *monitor) checkPrimary(primary *member) {
@@ -139,7 +145,7 @@
 	if len(pausedReplicas(before, primary)) > 0 {
 		// The replicas receive nothing because of their pauses, which a failed proxy has left
 		// unless a takeover is in progress.
-		mon.liftAbandonedPauses(primary)
+		mon.settleTakeover(primary)
 		return
 	}
 	if !mon.replicationStalled(primary, primaryStatus, before) {
--- a/internal/managed/query.go
+++ b/internal/managed/query.go
@@ -94,6 +94,23 @@
 	return members
 }
 
+// startedMembers returns the members whose process is not among the known ones, given by name and
+// incarnation, and adds them to these. The target of an order is none of them.
+func (d *database) startedMembers(known map[entity.Upstream]int64, target entity.Upstream) []*member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var started []*member
+	for _, m := range d.members {
+		incarnation, ok := known[m.name]
+		if m.name == target || ok && (incarnation == 0 || incarnation == m.entry.Incarnation) {
+			continue
+		}
+		known[m.name] = m.entry.Incarnation
+		started = append(started, m)
+	}
+	return started
+}
+
 // anyAtCapacity reports whether a member refused because its connections or slots were
 // exhausted. Such a member is alive and may be the primary.
 func anyAtCapacity(reports []statusReport) bool {
--- a/internal/managed/revision.go
+++ b/internal/managed/revision.go
@@ -14,6 +14,14 @@
 	Epoch, Number uint64
 }
 
+// before reports whether the store reached r before other.
+func (r Revision) before(other Revision) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch < other.Epoch
+	}
+	return r.Number < other.Number
+}
+
 // fencingNumberBits is the number of bits of a fencing token that hold the number of the
 // revision. 40 bits last for 10 years of 3,200 writes a second.
 const fencingNumberBits = 40
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -270,7 +270,7 @@
 	}
 	s.recordEpoch(revision)
 	s.proxy.events.storeListed(revision, changes)
-	s.proxy.markUnlisted(changes)
+	s.proxy.markUnlisted(changes, revision)
 	s.apply(changes, revision.Epoch)
 	s.setRevision(revision)
 	s.mustList = false
@@ -340,6 +340,9 @@
 		case strings.HasPrefix(c.Key, claimPrefix):
 			name := entity.Database(c.Key[len(claimPrefix):])
 			p.database(name).applyClaim(c.Value, Revision{epoch, c.Revision}, c.Removed)
+		case strings.HasPrefix(c.Key, ordersPrefix):
+			name := entity.Database(c.Key[len(ordersPrefix):])
+			p.database(name).applyOrders(c.Value, Revision{epoch, c.Revision}, c.Removed)
 		}
 	}
 	p.mu.Lock()
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -22,6 +24,11 @@
 	// newPrimaryTimeout is how long to wait for the target to become primary after the
 	// call. The platform needs up to 1 s.
 	newPrimaryTimeout = 2500 * time.Millisecond
+	// maxTakeover bounds a takeover with open orders while no primary is known to lead.
+	maxTakeover = 10 * time.Second
+	// unansweredOrderWait is how long to wait for the effect of an order without an answer, after
+	// promoteTimeout, before it is repeated.
+	unansweredOrderWait = 300 * time.Millisecond
 	// claimMargin is the minimum remaining time of the claim when a promotion is sent.
 	claimMargin = promoteTimeout
 )
@@ -101,38 +108,37 @@
 	// known during the takeover ends it, unless that one does not answer either.
 	replaced *member
 	// planned is set while replaced answers as the healthy primary.
-	planned   bool
-	progress  *takeover.Takeover
-	startedAt entity.Time
-	renewedAt entity.Time
+	planned bool
+	// keepLeader is set if replaced is to be replaced only by the target of an open order.
+	keepLeader bool
+	progress   *takeover.Takeover
+	startedAt  entity.Time
+	renewedAt  entity.Time
 	// paused are the members that this takeover tried to pause.
 	paused map[entity.Upstream]*member
-	// fenceUsed is set once a promotion was sent with the claim's current fencing token, ordered
-	// once one was sent with any token.
-	fenceUsed, ordered bool
-	// promotionPending is set while a promotion without an answer may still be carried out late.
-	// Members stay paused then.
-	promotionPending bool
-	// membersRead is set once the members that this proxy did not know have been read from the
-	// store.
-	membersRead bool
+	// orders are the open orders. Members other than their targets stay paused while there are any.
+	orders orderLog
+	// ordered is set once an order was sent.
+	ordered bool
+	// prepared is set once the open orders and the members that this proxy did not know have been
+	// read from the store.
+	prepared bool
 	// fenceRefused is set once the platform refused the fencing token. The token is not
 	// used again; the next takeover gets a new one.
 	fenceRefused bool
 }
 
 func (t *takeoverRun) run() {
-	for now().Sub(t.startedAt) < takeoverLimit || t.promotionPending && !t.planned {
+	for now().Sub(t.startedAt) < t.limit() {
 		if t.fenceRefused || !t.renewClaim() {
 			break
 		}
-		if !t.membersRead {
-			if _, t.membersRead = t.readNewMembers(); !t.membersRead {
-				time.Sleep(takeoverPollInterval)
-				continue
-			}
+		if !t.prepare() {
+			time.Sleep(takeoverPollInterval)
+			continue
 		}
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
+		t.followPrimary(reports)
 		decision := t.progress.Next(now(), t.view(reports))
 		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence())
 		switch decision.Step {
@@ -145,9 +151,14 @@
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
 			t.liftPauses()
-			t.recordEnd("another primary leads")
-			t.end()
+			t.conclude("another primary leads")
 			return
+		case takeover.StepRevoke:
+			if t.revokeOrders(t.replaced) {
+				t.startedAt = now()
+			} else {
+				time.Sleep(takeoverPollInterval)
+			}
 		case takeover.StepPromote:
 			// A member that was added since the replicas were paused receives commits.
 			added, ok := t.readNewMembers()
@@ -155,17 +166,72 @@
 				time.Sleep(takeoverPollInterval)
 				continue
 			}
-			if added == 0 && t.promote(reports, decision.Target) {
-				// The claim is left to expire, so that no other proxy promotes within its
-				// lease time.
-				t.recordEnd("promoted")
+			if added > 0 || !t.promote(reports, decision.Target) {
+				continue
+			}
+			if !t.orderedOtherThan(decision.Target) {
+				t.conclude("promoted")
 				return
 			}
+			t.startedAt = now()
 		}
 	}
 	t.giveUp()
 }
 
+// followPrimary goes on with a primary that leads instead of the one to replace while an order with
+// another target is open.
+func (t *takeoverRun) followPrimary(reports []statusReport) {
+	if !t.monitor.adoptNewestPrimary(reports) {
+		return
+	}
+	primary := newestPrimary(reports).member
+	t.orders.expire(now())
+	t.orders.leads(primary.name)
+	if primary == t.replaced || !t.orderedOtherThan(primary.name) {
+		return
+	}
+	t.replaced, t.planned, t.keepLeader = primary, true, true
+	t.progress = takeover.New(false)
+}
+
+// limit returns the time that the takeover may take. Without a primary, one that has open orders goes
+// on for longer: another proxy would begin with them only after the claim has expired.
+func (t *takeoverRun) limit() time.Duration {
+	if len(t.orders.open) > 0 && !t.planned {
+		return maxTakeover
+	}
+	return takeoverLimit
+}
+
+// prepare reads from the store what happened until the claim was acquired: the open orders and the
+// members that this proxy does not know. It reports false if the store does not answer.
+func (t *takeoverRun) prepare() bool {
+	if t.prepared {
+		return true
+	}
+	var loaded error
+	var wait sync.WaitGroup
+	wait.Go(func() { loaded = t.db.loadOrders() })
+	_, read := t.readNewMembers()
+	wait.Wait()
+	if loaded != nil {
+		t.db.proxy.events.storeFailed("read_orders", loaded)
+	}
+	if loaded != nil || !read {
+		return false
+	}
+	t.orders = orderLog{}
+	t.orders.inherit(t.db.openOrders().Targets)
+	t.prepared = true
+	return true
+}
+
+// orderedOtherThan reports whether an order is open with another target than the given member.
+func (t *takeoverRun) orderedOtherThan(name entity.Upstream) bool {
+	return slices.ContainsFunc(t.orders.open, func(o sentOrder) bool { return o.target != name })
+}
+
 // readNewMembers adds the members that this proxy does not know yet and returns their number.
 // It reports false if the store does not answer.
 func (t *takeoverRun) readNewMembers() (added int, ok bool) {
@@ -208,7 +274,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	at := now()
+	t.orders.expire(at)
 	v := takeover.View{
+		Ordered:       t.orders.targets(),
+		KeepLeader:    t.keepLeader,
 		Term:          d.primaryTerm,
 		Expected:      groupSize,
 		Synchronous:   d.limits.SyncReplicas > 0,
@@ -268,42 +337,57 @@
 	}
 }
 
-// resume lifts the pauses of members while the primary is healthy. An earlier order of a
-// promotion, also one of another proxy that paused them, must not be carried out after that.
+// resume lifts the pauses of members while a primary leads. Unless all are targets of open orders,
+// no open order may be left.
 func (t *takeoverRun) resume(members []*member) {
-	earlier := slices.ContainsFunc(members, func(m *member) bool { return t.paused[m.name] == nil })
-	if (earlier || t.promotionPending) && !t.revokeOrders() {
+	targets := t.orders.targets()
+	onlyTargets := !slices.ContainsFunc(members, func(m *member) bool { return !slices.Contains(targets, m.name) })
+	if !onlyTargets && t.mustRevoke(members) && !t.revokeOrders(t.replaced) {
 		time.Sleep(takeoverPollInterval)
 		return
 	}
+	t.sendResume(members)
+	// What follows is a new attempt, with another successor.
+	t.startedAt = now()
+}
+
+// mustRevoke reports whether an order may be open before the pauses of members are lifted. Pauses
+// that another proxy left may belong to an order whose record a restore of the store has lost.
+func (t *takeoverRun) mustRevoke(members []*member) bool {
+	if len(t.orders.open) > 0 {
+		return true
+	}
+	record := t.db.openOrders()
+	return !record.complete() && slices.ContainsFunc(members, func(m *member) bool { return t.paused[m.name] == nil })
+}
+
+func (t *takeoverRun) sendResume(members []*member) {
 	for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
 		t.db.proxy.events.memberResumed(t.db.name, r.entry.Name, r.err)
 		if r.err == nil {
 			delete(t.paused, r.member.name)
 		}
 	}
-	// What follows is a new attempt, with another successor.
-	t.startedAt = now()
 }
 
 // revokeOrders makes sure that no earlier order of a promotion is carried out any more: it
-// promotes the primary, which must have been seen to lead since the claim was acquired, with a
-// newer fencing token, and waits until an order that was accepted before has taken effect. It
-// reports whether the primary still leads.
-func (t *takeoverRun) revokeOrders() bool {
+// promotes a member that has been seen to lead since the claim was acquired, with a newer fencing
+// token, and waits until an order that was accepted before has taken effect. It reports whether
+// the member still leads.
+func (t *takeoverRun) revokeOrders(leader *member) bool {
 	if added, ok := t.readNewMembers(); !ok || added > 0 {
 		return false
 	}
-	if t.order(t.replaced.name) != orderAccepted {
+	if !t.orders.acceptedFor(leader.name) && t.order(leader.name, leader) != orderAccepted {
 		return false
 	}
-	for end := now().Add(newPrimaryTimeout); now() < end; time.Sleep(suspectInterval) {
-		r := t.monitor.queryMember(t.replaced, Command{Kind: CommandStatus})
+	for end := t.orders.acceptedAt.Add(newPrimaryTimeout); now() < end; time.Sleep(suspectInterval) {
+		r := t.monitor.queryMember(leader, Command{Kind: CommandStatus})
 		if r.err != nil || !r.status.Primary || !t.renewClaim() {
 			return false
 		}
 	}
-	t.promotionPending = false
+	t.orders.expire(now())
 	return true
 }
 
@@ -318,79 +402,136 @@
 	orderUnanswered
 )
 
-// order sends the promotion of a member with an unused fencing token.
-func (t *takeoverRun) order(target entity.Upstream) orderResult {
-	if t.fenceUsed {
-		// A repeated promotion needs a new token, so that the platform refuses the earlier
-		// one if it arrives late.
-		if err := t.claim.writeKey(); err != nil {
-			t.db.proxy.events.storeFailed("renew_fence", err)
-			return orderRefused
-		}
-		t.fenceUsed = false
+// order records the promotion of a member and sends it. The revision of the record is the fencing
+// token, so that the platform refuses every earlier order that arrives late. The leader, nil if none
+// answers, must not have been replaced by an earlier order until the record is written.
+func (t *takeoverRun) order(target entity.Upstream, leader *member) orderResult {
+	t.orders.add(target)
+	if err := t.writeOrders(false); err != nil {
+		t.orders.refused()
+		t.db.proxy.events.storeFailed("record_order", err)
+		// The record may have been written, by this proxy or by the holder of a newer claim.
+		t.prepared = false
+		return orderRefused
+	}
+	if len(t.orders.open) > 1 && !t.stillLeads(leader) {
+		// What the target of another order acknowledges was confirmed without this one.
+		t.orders.refused()
+		return orderRefused
 	}
 	if !t.claim.validFor(claimMargin) {
 		if err := t.claim.renew(); err != nil {
+			t.orders.refused()
 			t.db.proxy.events.storeFailed("keep_claim", err)
 			return orderRefused
 		}
 	}
+	fence := t.db.openOrders().revision.FencingToken()
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
-	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.settings().VM, t.claim.fence())
+	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.settings().VM, fence)
 	cancel()
-	t.db.proxy.events.promotionOrdered(t.db.name, target, t.claim.fence(), err)
+	t.db.proxy.events.promotionOrdered(t.db.name, target, fence, err)
 	switch {
 	case errors.Is(err, ErrNotApplied):
+		t.orders.refused()
 		return orderRefused
 	case errors.Is(err, ErrFenced):
 		// The target is not running, or another proxy has used a newer token.
+		t.orders.refused()
 		t.fenceRefused = true
 		return orderRefused
 	}
-	t.fenceUsed, t.ordered = true, true
+	t.ordered = true
 	if err != nil {
-		t.promotionPending = true
 		return orderUnanswered
 	}
+	t.orders.acceptedLast(now())
 	return orderAccepted
 }
 
+// stillLeads reports whether a member leads, or for nil whether none that answers does.
+func (t *takeoverRun) stillLeads(leader *member) bool {
+	newest := newestPrimary(t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery()))
+	return newest == nil && leader == nil || newest != nil && newest.member == leader
+}
+
+// writeOrders writes the record of open orders. On an error it may have been written.
+func (t *takeoverRun) writeOrders(concluded bool) error {
+	d := t.db
+	record := orderRecord{Epoch: t.claim.lease.Epoch, Claim: t.claim.revision.Number, Targets: t.orders.targets(), Concluded: concluded}
+	value, err := json.Marshal(&record)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	// Without a lease the record outlasts this proxy.
+	epoch := t.claim.lease.Epoch
+	number, err := d.proxy.options.Store.Put(ctx, ordersPrefix+string(d.name), value, d.openOrders().revision.Number, Lease{Epoch: epoch})
+	if err != nil {
+		return err
+	}
+	record.revision = Revision{epoch, number}
+	d.setOrders(record)
+	return nil
+}
+
 // promote orders the promotion of a member and waits until it is primary. It reports whether it
-// is. An accepted promotion that has had no effect by then never will: its target was lost.
+// is. An accepted promotion that has had no effect by then never will: its target was lost. One
+// without an answer is ordered again after a shorter time.
 func (t *takeoverRun) promote(reports []statusReport, target entity.Upstream) bool {
-	result := t.order(target)
-	if result == orderRefused {
+	var resumed sync.WaitGroup
+	if !t.planned {
+		// A lost primary may be alive and acknowledge commits to other proxies. The target must
+		// hold them.
+		resumed.Go(func() { t.sendResume(pausedAmong(membersNamed(reports, []entity.Upstream{target}), reports)) })
+	}
+	var leader *member
+	if t.planned {
+		leader = t.replaced
+	}
+	result := t.order(target, leader)
+	resumed.Wait()
+	wait := newPrimaryTimeout
+	switch result {
+	case orderRefused:
 		time.Sleep(takeoverPollInterval)
 		return false
+	case orderUnanswered:
+		wait = unansweredOrderWait
+	case orderAccepted:
+		if o := t.db.proxy.observer; o != nil {
+			o.metrics.ForDatabase(string(t.db.name)).CountPromotion()
+		}
 	}
-	if o := t.db.proxy.observer; o != nil && result == orderAccepted {
-		o.metrics.ForDatabase(string(t.db.name)).CountPromotion()
-	}
-	return t.awaitNewPrimary(reports, target)
+	return t.awaitNewPrimary(reports, target, wait)
+}
+
+// pausedAmong returns the members that are paused according to their reports.
+func pausedAmong(members []*member, reports []statusReport) []*member {
+	return slices.DeleteFunc(members, func(m *member) bool {
+		return !slices.ContainsFunc(reports, func(r statusReport) bool { return r.member == m && r.err == nil && r.status.PauseTerm != 0 })
+	})
 }
 
 // awaitNewPrimary waits until the target is primary and reports whether it is. It pauses members
-// that are added meanwhile: what only they receive would be lost.
-func (t *takeoverRun) awaitNewPrimary(reports []statusReport, target entity.Upstream) bool {
+// that are added or restart meanwhile: what only they receive would be lost.
+func (t *takeoverRun) awaitNewPrimary(reports []statusReport, target entity.Upstream, wait time.Duration) bool {
 	began := now()
 	members := membersNamed(reports, []entity.Upstream{target})
-	known := map[*member]bool{t.replaced: true}
+	known := map[entity.Upstream]int64{target: 0}
+	if t.replaced != nil {
+		known[t.replaced.name] = 0
+	}
 	for i := range reports {
-		known[reports[i].member] = true
+		known[reports[i].entry.Name] = reports[i].entry.Incarnation
 	}
-	for end := now().Add(newPrimaryTimeout); now() < end; time.Sleep(takeoverPollInterval) {
+	for end := now().Add(wait); now() < end; time.Sleep(takeoverPollInterval) {
 		if t.monitor.adoptNewestPrimary(t.monitor.queryMembers(Command{Kind: CommandStatus}, members)) {
 			t.db.proxy.events.promotionEffective(t.db.name, target, t.claim.fence(), now().Sub(began))
 			return true
 		}
-		var added []*member
-		for _, m := range t.db.allMembers() {
-			if !known[m] {
-				known[m] = true
-				added = append(added, m)
-			}
-		}
-		if len(added) > 0 {
+		if added := t.db.startedMembers(known, target); len(added) > 0 {
 			t.pause(added, pauseTerm(reports))
 		}
 		t.renewClaim()
@@ -407,33 +548,44 @@
 	return newest + 1
 }
 
-// liftPauses resumes the members that this takeover paused, unless a promotion is pending.
+// liftPauses resumes the members that this takeover paused.
 func (t *takeoverRun) liftPauses() {
-	if len(t.paused) == 0 || t.promotionPending {
+	if len(t.paused) == 0 {
 		return
 	}
-	members := slices.Collect(maps.Values(t.paused))
-	for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
-		if r.err != nil {
-			t.db.proxy.events.memberFailed(t.db.name, r.entry.Name, "resume", r.err)
+	t.sendResume(slices.Collect(maps.Values(t.paused)))
+}
+
+// conclude ends a takeover after which a member leads and no order with another target is open.
+func (t *takeoverRun) conclude(outcome string) {
+	t.db.proxy.events.takeoverEnded(t.db.name, outcome, t.claim.fence(), len(t.orders.open))
+	t.orders.open = nil
+	if t.ordered || len(t.db.openOrders().Targets) > 0 {
+		if err := t.writeOrders(true); err != nil {
+			t.db.proxy.events.storeFailed("conclude_orders", err)
 		}
 	}
+	t.end()
 }
 
 // giveUp ends a takeover without a promotion. Members stay paused if the primary does not answer
-// or a promotion is pending; the next takeover continues from there.
+// or an order is open; the next takeover continues from there.
 func (t *takeoverRun) giveUp() {
-	t.recordEnd("given up")
-	if t.planned || t.reason == primaryStalled {
+	t.orders.expire(now())
+	t.db.proxy.events.takeoverEnded(t.db.name, "given up", t.claim.fence(), len(t.orders.open))
+	// Without a valid claim the pauses may be those of another proxy.
+	held := t.prepared && !t.fenceRefused && t.claim.validFor(0)
+	if held && len(t.orders.open) == 0 && (t.planned || t.reason == primaryStalled) {
 		t.liftPauses()
 	}
+	if held && !slices.Equal(t.orders.targets(), t.db.openOrders().Targets) {
+		if err := t.writeOrders(len(t.orders.open) == 0); err != nil {
+			t.db.proxy.events.storeFailed("record_orders", err)
+		}
+	}
 	t.end()
 }
 
-func (t *takeoverRun) recordEnd(outcome string) {
-	t.db.proxy.events.takeoverEnded(t.db.name, outcome, t.claim.fence(), t.promotionPending)
-}
-
 // end ends the claim. After an order it is left to expire instead, so that no other proxy
 // promotes within its lease time. This proxy may acquire it again.
 func (t *takeoverRun) end() {
@@ -442,9 +594,9 @@
 	}
 }
 
-// liftAbandonedPauses resumes replicas left paused by a failed proxy while their primary is
-// healthy.
-func (mon *monitor) liftAbandonedPauses(primary *member) {
+// settleTakeover ends what a failed proxy left while the primary is healthy: it revokes open
+// orders and resumes paused replicas.
+func (mon *monitor) settleTakeover(primary *member) {
 	if now() < mon.nextTakeover {
 		return
 	}
@@ -452,17 +604,37 @@
 	if t == nil {
 		return
 	}
-	defer t.end()
+	switch {
+	case !t.prepare():
+		t.giveUp()
+	case t.orderedOtherThan(primary.name):
+		t.keepLeader = true
+		t.run()
+	case t.liftAbandonedPauses(primary):
+		t.conclude("settled")
+	default:
+		t.giveUp()
+	}
+}
+
+// liftAbandonedPauses resumes the paused replicas of a healthy primary. It reports whether they
+// are resumed and the primary still leads.
+func (t *takeoverRun) liftAbandonedPauses(primary *member) bool {
+	mon := t.monitor
 	// The members are queried after the claim was acquired: another proxy may have promoted one
 	// of them until then.
-	reports := mon.queryMembers(Command{Kind: CommandStatus}, mon.db.allMembers())
+	reports := mon.queryMembers(Command{Kind: CommandStatus}, t.db.allMembers())
 	if !leadsAlone(reports, primary) {
 		mon.adoptNewestPrimary(reports)
-		return
+		return false
 	}
-	if paused := pausedReplicas(reports, primary); len(paused) > 0 {
-		t.resume(paused)
+	t.orders.leads(primary.name)
+	paused := pausedReplicas(reports, primary)
+	if len(paused) > 0 && t.mustRevoke(paused) && !t.revokeOrders(primary) {
+		return false
 	}
+	t.sendResume(paused)
+	return true
 }
 
 // leadsAlone reports whether a member is the only one that reports to be primary.
