A commit is reported once no open order can lose it

Callers saw that writes answered with success were missing after a promotion, also without any late order.

Cause: the acknowledgement of the primary was taken as evidence that the successor holds the commit. It says that some replica received it, also one that joined after the successor was chosen, and that the proxy which ordered the promotion does not know yet.

The commits waited at the lost primary while all its replicas were paused, and were acknowledged a few ms after an upstream joined.

Change: while a takeover is open, a proxy reports a commit once the targets of all open orders hold it, or, before an order, a replica that was listed before the claim. The holder announces its claim to the gateways, so that proxies without the store know of it as well. A proxy that may have lost the store asks a replica that it knows. Without evidence the commit is in doubt.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -35,6 +35,7 @@
 //   - No pause but a target's is lifted, and a takeover does not end because a primary leads,
 //     while an order with another target is open. The target then becomes the successor, or its
 //     order is revoked.
+//   - Evidence.Holds decides whether an acknowledged commit may be reported to its caller.
 package takeover
 
 import (
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -110,6 +110,7 @@
 		mux.Handle("/", server.Handler)
 		mux.HandleFunc("GET "+managed.DocumentPath, p.ServeDocument)
 		mux.HandleFunc("GET "+managed.ChangesPath, p.ServeChanges)
+		mux.HandleFunc("POST "+managed.TakeoverPath, p.ServeTakeover)
 		if quotas := p.QuotaHandler(); quotas != nil {
 			mux.Handle(managed.QuotaPath, quotas)
 		}
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -447,7 +447,7 @@
 	DocumentVersion uint64
 }
 
-// Peers fetches store data from other proxies.
+// Peers exchanges store data with other proxies.
 type Peers interface {
 	// Document returns the configuration in effect at the proxy with the given address. have
 	// is the version that the caller has, 0 if it has none.
@@ -455,6 +455,8 @@
 	// Changes returns the answer of the proxy with the given address to a poll. It returns
 	// ErrCompacted if that proxy no longer has the changes.
 	Changes(ctx context.Context, address string, poll Poll) (PeerChanges, error)
+	// Announce tells the proxy with the given address of a takeover.
+	Announce(ctx context.Context, address string, a Announcement) error
 }
 
 // Errors returned by Promoter.
--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -117,8 +117,8 @@
 		p.connFailed(err)
 		return a.handleConnFailure(writes, err)
 	}
-	if writes && reply.Code == CodeNone {
-		a.session.reportCommit(statement, a.db, p.member, reply.Position, now().Sub(sent))
+	if writes && reply.Code == CodeNone && reply.State == StateIdle {
+		return a.handleCommit(p, statement, reply, sent), true
 	}
 	return a.handleReply(p, reply, writes, sent)
 }
@@ -299,6 +299,30 @@
 
 func (a *attempt) expired() bool { return now().Add(minTryTime) >= a.deadline }
 
+// handleCommit handles a write that the primary has acknowledged. It releases the permit before it
+// waits for the evidence that a promotion under way keeps the write.
+func (a *attempt) handleCommit(p *permit, statement *Statement, reply Reply, sent entity.Time) Reply {
+	d := a.db
+	c := commit{primary: p.member, position: reply.Position, took: now().Sub(sent)}
+	d.recordConfirmation(p.member, sent, reply.Position)
+	a.endServed(p)
+	if !c.confirm(a.session, statement, d, a.deadline) {
+		return errorReply(CodeInDoubt, unconfirmedCommit)
+	}
+	a.session.state.lastWrite = reply.Position
+	return reply
+}
+
+// unconfirmedCommit describes a commit that was acknowledged but may be lost.
+const unconfirmedCommit = "the primary is being replaced and its successor may lack the commit"
+
+// endServed releases the permit of a completed statement.
+func (a *attempt) endServed(p *permit) {
+	a.db.recordServed(p.member)
+	p.result = resultServed
+	a.db.endPermit(p, true)
+}
+
 // handleReply interprets an upstream's reply and releases the permit. It reports false if
 // the statement should be retried.
 func (a *attempt) handleReply(p *permit, reply Reply, writes bool, sent entity.Time) (Reply, bool) {
@@ -310,13 +334,7 @@
 	}
 	switch reply.Code {
 	case CodeNone:
-		if writes {
-			d.recordConfirmation(p.member, sent, reply.Position)
-			a.session.state.lastWrite = reply.Position
-		}
-		d.recordServed(p.member)
-		p.result = resultServed
-		d.endPermit(p, true)
+		a.endServed(p)
 		return reply, true
 	case CodeBusy:
 		a.session.stages.busy++
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -141,7 +141,14 @@
 	d.applyClaim(value, revision, revision.Number == 0)
 }
 
-// applyClaim records the claim stored for the database.
+// setOwnClaim records the claim that this proxy holds, nil if it holds none.
+func (d *database) setOwnClaim(c *claim) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ownClaim = c
+}
+
+// applyClaim records the claim stored for the database, or its removal at a revision.
 func (d *database) applyClaim(value []byte, revision Revision, removed bool) {
 	var record claimRecord
 	if !removed {
@@ -152,6 +159,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if removed && d.claimRemovedAt.before(revision) {
+		d.claimRemovedAt = revision
+	}
 	if d.claim.held() && !record.held() {
 		delay := pauseCheckDelay
 		if len(d.orders.Targets) > 0 {
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -69,6 +69,12 @@
 	lastReadAt entity.Time
 	// claim is the takeover claim seen in the store, zero if there is none.
 	claim claimRecord
+	// announced is the claim that another proxy announced, until announcedUntil. claimRemovedAt is the
+	// last revision at which the store was seen without a claim.
+	announced, claimRemovedAt Revision
+	announcedUntil            entity.Time
+	// ownClaim is the claim that this proxy holds, nil if it holds none.
+	ownClaim *claim
 	// orders are the open orders of promotions seen in the store.
 	orders  orderRecord
 	monitor *monitor
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -7,8 +7,8 @@
 	"skylarkhinge.dev/skylarkhinge/core/placement"
 )
 
-// putMember adds or updates a listed member.
-func (p *Proxy) putMember(entry Member) {
+// putMember adds or updates a member listed at a revision.
+func (p *Proxy) putMember(entry Member, at Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, known := p.document().Databases[entry.Database]; !known && p.document().Version != 0 {
@@ -20,7 +20,7 @@
 		before.removeMember(entry.Name)
 	}
 	p.databaseByMember[entry.Name] = d
-	d.putMember(entry, p.distance(entry.AvailabilityZone))
+	d.putMember(entry, p.distance(entry.AvailabilityZone), at)
 }
 
 var errUnknownDatabase = errors.New("database is not in the configuration")
@@ -69,7 +69,7 @@
 	}
 	for name, d := range p.databases {
 		if !keys[claimPrefix+string(name)] {
-			d.applyClaim(nil, Revision{}, true)
+			d.applyClaim(nil, at, true)
 		}
 		if !keys[ordersPrefix+string(name)] {
 			d.applyOrders(nil, Revision{Epoch: at.Epoch}, true)
@@ -77,7 +77,7 @@
 	}
 }
 
-func (d *database) putMember(entry Member, distance int) {
+func (d *database) putMember(entry Member, distance int, listedAt Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	at := now()
@@ -87,7 +87,7 @@
 		return
 	}
 	if !known {
-		m = &member{name: entry.Name, entry: entry, distance: distance}
+		m = &member{name: entry.Name, entry: entry, distance: distance, listedAt: listedAt}
 		d.members[entry.Name] = m
 		delete(d.lostReplicas, entry.Name)
 		if len(d.members) <= groupSize {
@@ -125,6 +125,9 @@
 		// A process that leaves does so until its end.
 		m.leavingSince = 0
 	}
+	if m.listedAt.Epoch != listedAt.Epoch || m.entry.Incarnation != entry.Incarnation || m.missingSince != 0 {
+		m.listedAt = listedAt
+	}
 	m.entry, m.distance, m.missingSince = entry, distance, 0
 	if changed {
 		d.proxy.events.memberChanged(d.name, entry)
--- a/internal/managed/directory_test.go
+++ b/internal/managed/directory_test.go
@@ -22,11 +22,11 @@
 	entry := Member{Name: "a", Database: "shop", Address: "127.0.0.1:1", Incarnation: 5}
 	leaving := entry
 	leaving.Leaving = true
-	d.putMember(leaving, 0)
-	d.putMember(entry, 0)
+	d.putMember(leaving, 0, Revision{})
+	d.putMember(entry, 0, Revision{})
 	assert.Assert(t, d.members["a"].leavingSince != 0)
 	entry.Incarnation = 6
-	d.putMember(entry, 0)
+	d.putMember(entry, 0, Revision{})
 	assert.Assert(t, d.members["a"].leavingSince == 0)
 }
 
@@ -36,10 +36,10 @@
 	d := newDirectoryTest()
 	current := Member{Name: "a", Database: "shop", Address: "127.0.0.1:2", Incarnation: 6}
 	earlier := Member{Name: "a", Database: "shop", Address: "127.0.0.1:1", Incarnation: 5}
-	d.putMember(current, 0)
-	d.putMember(earlier, 0)
+	d.putMember(current, 0, Revision{})
+	d.putMember(earlier, 0, Revision{})
 	assert.Equal(t, d.members["a"].entry, current)
 	d.proxy.storeEpoch.Store(&epochStart{epoch: 2, at: now().Add(-2 * restoreSettleTime), restored: true})
-	d.putMember(earlier, 0)
+	d.putMember(earlier, 0, Revision{})
 	assert.Equal(t, d.members["a"].entry, earlier)
 }
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -334,14 +334,29 @@
 	e.stateChanged("promotion_effective", logrus.Fields{"database": db, "peer": target, "fence": fence, "after_ms": after.Milliseconds()})
 }
 
-// commitWaited logs a commit whose acknowledgement the primary delayed.
-func (e *events) commitWaited(s *session, statement *Statement, db entity.Database, primary entity.Upstream, position entity.Position, took time.Duration) {
+// commitConfirmed logs a commit that was reported to its caller only after other upstreams than the
+// primary were found to hold it.
+func (e *events) commitConfirmed(s *session, statement *Statement, db entity.Database, c *commit, after time.Duration) {
 	if !e.admit(CodeNone) {
 		return
 	}
-	e.request("commit_waited").WithFields(logrus.Fields{
-		"id": statement.ID, "route": s.databaseName, "database": db, "peer": primary, "position": position.String(), "took_ms": took.Milliseconds(),
-	}).Info("commit acknowledged late")
+	e.request("commit_confirmed").WithFields(commitFields(s, statement, db, c)).WithField("after_ms", after.Milliseconds()).Info("commit confirmed")
+}
+
+// commitInDoubt logs an acknowledged commit that a promotion may have lost.
+func (e *events) commitInDoubt(s *session, statement *Statement, db entity.Database, c *commit, evidence *takeover.Evidence) {
+	if !e.admit(CodeInDoubt) {
+		return
+	}
+	e.request("commit_in_doubt").WithFields(commitFields(s, statement, db, c)).WithFields(logrus.Fields{
+		"targets": evidence.Ordered, "claimed": evidence.Claimed, "uncertain": evidence.Uncertain,
+	}).Info("commit may be lost")
+}
+
+func commitFields(s *session, statement *Statement, db entity.Database, c *commit) logrus.Fields {
+	return logrus.Fields{
+		"id": statement.ID, "route": s.databaseName, "group": db, "peer": c.primary.name, "position": c.position.String(), "took_ms": c.took.Milliseconds(),
+	}
 }
 
 func (e *events) promotionOrdered(db entity.Database, target entity.Upstream, fence uint64, err error) {
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -225,6 +225,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(managed.DocumentPath, n.proxy.ServeDocument)
 	mux.HandleFunc(managed.ChangesPath, n.proxy.ServeChanges)
+	mux.HandleFunc(managed.TakeoverPath, n.proxy.ServeTakeover)
 	if quotas := n.proxy.QuotaHandler(); quotas != nil {
 		mux.Handle(managed.QuotaPath, quotas)
 	}
@@ -277,6 +278,13 @@
 	return p.Peers.Document(ctx, address, have)
 }
 
+func (p *cuttablePeers) Announce(ctx context.Context, address string, a managed.Announcement) error {
+	if p.node.cut.Load() {
+		return net.ErrClosed
+	}
+	return p.Peers.Announce(ctx, address, a)
+}
+
 func (p *cuttablePeers) Changes(ctx context.Context, address string, poll managed.Poll) (managed.PeerChanges, error) {
 	if p.node.cut.Load() {
 		return managed.PeerChanges{}, net.ErrClosed
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -58,6 +58,10 @@
 	// changes to primary again.
 	deniedPrimary bool
 	latency       time.Duration
+	// listedAt is a revision of the store at which the member was listed, zero if that is unknown.
+	listedAt Revision
+	// statusCall is the status call in progress that commits share, nil if there is none.
+	statusCall *statusCall
 	// pace is nil without the setting UpstreamPace.
 	pace *memberPace
 }
--- a/internal/managed/memberlist.go
+++ b/internal/managed/memberlist.go
@@ -28,16 +28,16 @@
 	if err != nil {
 		return 0, err
 	}
-	latest := map[entity.Upstream]*Member{}
+	latest := map[entity.Upstream]*Change{}
 	for i := range changes {
 		if c := &changes[i]; c.MemberName != "" {
-			latest[c.MemberName] = c.Member
+			latest[c.MemberName] = c
 		}
 	}
 	added := 0
-	for _, entry := range latest {
-		if entry != nil && entry.Database == d.name && !d.knows(entry) {
-			p.putMember(*entry)
+	for _, c := range latest {
+		if c.Member != nil && c.Member.Database == d.name && !d.knows(c.Member) {
+			p.putMember(*c.Member, Revision{read.Epoch, c.Revision})
 			added++
 		}
 	}
--- a/internal/managed/orders_test.go
+++ b/internal/managed/orders_test.go
@@ -54,3 +54,31 @@
 	assert.Equal(t, len(settled.Targets), 0)
 	assert.Assert(t, settled.complete() && settled.concludes(Revision{2, 11}))
 }
+
+// Guards against commits that are reported on the primary's word alone although another proxy has
+// announced a takeover, and against takeovers that stay open after the store has told of their end.
+func TestAnnouncedTakeoverIsOpenUntilItsEnd(t *testing.T) {
+	open := func(d *database) Revision {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.openClaim()
+	}
+	for _, end := range []func(*database){
+		func(d *database) { d.applyClaim(nil, Revision{2, 20}, true) },
+		func(d *database) {
+			d.applyOrders([]byte(`{"epoch":2,"claim":15,"targets":[],"concluded":true}`), Revision{2, 20}, false)
+		},
+		func(d *database) { d.announcedUntil = now() },
+	} {
+		d := newDirectoryTest()
+		d.applyClaim(nil, Revision{2, 10}, true)
+		d.applyAnnouncement(Revision{2, 15})
+		assert.Equal(t, open(d), Revision{2, 15})
+		end(d)
+		assert.Equal(t, open(d), Revision{})
+	}
+	d := newDirectoryTest()
+	d.applyClaim(nil, Revision{2, 20}, true)
+	d.applyAnnouncement(Revision{2, 15})
+	assert.Equal(t, open(d), Revision{})
+}
--- a/internal/managed/pace_test.go
+++ b/internal/managed/pace_test.go
@@ -24,7 +24,7 @@
 	d.setPolicy(schedulingPolicy(&Document{Routes: map[string]Route{"orders": {Database: "shop", Rank: 0, TargetLatency: time.Second}}}))
 	d.limits.Connections = 61
 	list = func(name entity.Upstream, incarnation int64) *member {
-		d.putMember(Member{Name: name, Slots: 5, Incarnation: incarnation}, 0)
+		d.putMember(Member{Name: name, Slots: 5, Incarnation: incarnation}, 0, Revision{})
 		d.sharingProxies, d.sharingInZone = proxies, proxies
 		return d.members[name]
 	}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -69,6 +69,11 @@
 	// appliedRevision is the revision of the store up to which all changes are applied, nil
 	// before the first listing.
 	appliedRevision atomic.Pointer[Revision]
+	// storeLost is set while the store does not answer.
+	storeLost atomic.Bool
+	// renewalSentAt is when the renewal of the proxy's lease that is in progress was sent, 0 if none
+	// is.
+	renewalSentAt atomic.Int64
 	// drainStarted is closed when the shutdown begins.
 	drainStarted chan struct{}
 
--- a/internal/managed/relay.go
+++ b/internal/managed/relay.go
@@ -91,7 +91,7 @@
 		} else {
 			s.awaitOverdue(ctx, relayInterval/2+rand.N(relayInterval))
 		}
-		if s.storeLost.Load() || s.proxy.configurationOverdue(now()) {
+		if s.proxy.storeLost.Load() || s.proxy.configurationOverdue(now()) {
 			s.fetchPeerDocument(ctx)
 		}
 	}
--- a/internal/managed/session.go
+++ b/internal/managed/session.go
@@ -223,17 +223,6 @@
 	}
 }
 
-// slowCommit is the time after which the acknowledgement of a commit counts as delayed.
-const slowCommit = 500 * time.Millisecond
-
-// reportCommit logs a commit that the primary acknowledged late: it may have waited until a
-// replica received it.
-func (s *session) reportCommit(statement *Statement, d *database, primary *member, position entity.Position, took time.Duration) {
-	if took >= slowCommit {
-		s.proxy.events.commitWaited(s, statement, d.name, primary.name, position, took)
-	}
-}
-
 // databaseGroup returns the database group of the session's route, empty if there is no
 // route.
 func (s *session) databaseGroup() entity.Database {
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -115,8 +115,6 @@
 	// available.
 	mustList  bool
 	lostSince time.Time
-	// storeLost is set while the store does not answer.
-	storeLost atomic.Bool
 	lease     Lease
 	// renewalFails is set while the renewal of the lease fails. The store gets no other calls
 	// then: a renewal costs a tenth of a watch.
@@ -180,7 +178,7 @@
 		}
 		if s.lostSince.IsZero() {
 			s.lostSince = time.Now()
-			s.storeLost.Store(true)
+			s.proxy.storeLost.Store(true)
 			s.proxy.events.storeLost("follow", err)
 		}
 		sleep(ctx, pause/2+rand.N(pause))
@@ -192,7 +190,7 @@
 	if !s.lostSince.IsZero() {
 		s.proxy.events.storeRegained(time.Since(s.lostSince))
 		s.lostSince = time.Time{}
-		s.storeLost.Store(false)
+		s.proxy.storeLost.Store(false)
 	}
 }
 
@@ -332,7 +330,7 @@
 			s.refusedRevision = 0
 			p.setDocument(c.Document)
 		case c.Member != nil:
-			p.putMember(*c.Member)
+			p.putMember(*c.Member, Revision{epoch, c.Revision})
 		case c.MemberName != "":
 			p.removeMember(c.MemberName)
 		case strings.HasPrefix(c.Key, vmPrefix):
@@ -444,7 +442,9 @@
 	defer cancel()
 	store := s.proxy.options.Store
 	if listed {
+		s.proxy.renewalSentAt.Store(int64(now()))
 		err := store.RenewLease(ctx, s.lease)
+		s.proxy.renewalSentAt.Store(0)
 		if err == nil {
 			s.proxy.watchLog.recordContact()
 		}
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -66,8 +66,10 @@
 	if c == nil {
 		return nil
 	}
+	mon.db.setOwnClaim(c)
 	return &takeoverRun{
-		monitor: mon, db: mon.db, claim: c, reason: reason, replaced: replaced, startedAt: now(), renewedAt: now(),
+		awaitAnnounced: mon.db.announce(c.revision),
+		monitor:        mon, db: mon.db, claim: c, reason: reason, replaced: replaced, startedAt: now(), renewedAt: now(),
 		planned:  reason == primaryLeaves || reason == replicasLag,
 		progress: takeover.New(reason == primaryStalled), paused: map[entity.Upstream]*member{},
 	}
@@ -118,6 +120,8 @@
 	paused map[entity.Upstream]*member
 	// orders are the open orders. Members other than their targets stay paused while there are any.
 	orders orderLog
+	// awaitAnnounced waits until the other gateways know of the takeover, for a limited time.
+	awaitAnnounced func()
 	// ordered is set once an order was sent.
 	ordered bool
 	// prepared is set once the open orders and the members that this proxy did not know have been
@@ -160,6 +164,7 @@
 				time.Sleep(takeoverPollInterval)
 			}
 		case takeover.StepPromote:
+			t.awaitAnnounced()
 			// A member that was added since the replicas were paused receives commits.
 			added, ok := t.readNewMembers()
 			if !ok {
@@ -589,6 +594,7 @@
 // end ends the claim. After an order it is left to expire instead, so that no other proxy
 // promotes within its lease time. This proxy may acquire it again.
 func (t *takeoverRun) end() {
+	t.db.setOwnClaim(nil)
 	if !t.ordered {
 		t.claim.release()
 	}
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -193,7 +193,7 @@
 			t.conn.prepared = nil
 			continue
 		}
-		return t.handleReply(statement, reply, sent)
+		return t.handleReply(statement, reply, sent, a.deadline)
 	}
 }
 
@@ -233,7 +233,7 @@
 }
 
 // handleReply updates the transaction from an upstream's reply.
-func (t *transaction) handleReply(statement *Statement, reply Reply, sent entity.Time) (Reply, TransactionState) {
+func (t *transaction) handleReply(statement *Statement, reply Reply, sent, deadline entity.Time) (Reply, TransactionState) {
 	s := t.session
 	if reply.Code == CodeReadOnly {
 		t.db.recordNotPrimary(t.conn.member)
@@ -255,11 +255,15 @@
 		return t.replyAfterFailure(statement, reply)
 	}
 	// The transaction has ended at the upstream.
+	c := commit{primary: t.conn.member, position: reply.Position, took: now().Sub(sent)}
+	t.releaseConn()
 	if reply.Code == CodeNone && t.wrote {
-		s.reportCommit(statement, t.db, t.conn.member, reply.Position, now().Sub(sent))
-		s.state.lastWrite = reply.Position
+		if c.confirm(s, statement, t.db, deadline) {
+			s.state.lastWrite = reply.Position
+		} else {
+			reply = errorReply(CodeInDoubt, unconfirmedCommit)
+		}
 	}
-	t.releaseConn()
 	if statement.Kind == StatementCommit {
 		s.tx = nil
 		return reply, StateIdle
