--- a/internal/managed/orders.go
+++ b/internal/managed/orders.go
@@ -39,11 +39,6 @@
 	return r.Concluded && r.Claim == claim.Number && r.revision.Epoch == claim.Epoch
 }
 
-// otherThan reports whether an order is open with another target than the given member.
-func (r *orderRecord) otherThan(name entity.Upstream) bool {
-	return slices.ContainsFunc(r.Targets, func(target entity.Upstream) bool { return target != name })
-}
-
 // applyOrders records the open orders stored for the database.
 func (d *database) applyOrders(value []byte, revision Revision, removed bool) {
 	var record orderRecord
