Wait for a lost target of an order as for any lost replica

The pause of the successor of a lost primary is lifted while its order is open, so that it may be the only holder of a commit. A takeover that found it lost promoted the next replica at once, since all replicas counted as paused before. TestLostTargetOfAnOrderIsWaitedFor fails without the change.

--- a/core/takeover/progress.go
+++ b/core/takeover/progress.go
@@ -50,7 +50,8 @@
 		v.Required = t.required
 	}
 	d := Decide(v)
-	if d.Step == StepResume {
+	if d.Step == StepResume || d.Step == StepPromote && !v.LeaderHealthy {
+		// The successor of a lost primary receives the log while its order is open.
 		t.quiesced = false
 	}
 	// While the successor catches up, it is measured by an earlier report: it receives the log
--- a/core/takeover/progress_test.go
+++ b/core/takeover/progress_test.go
@@ -161,3 +161,15 @@
 	assert.DeepEqual(t, run.Next(at.Add(time.Second+stallWindow), view()),
 		Decision{Step: StepPause, Members: []entity.Upstream{"a"}, Term: 3, Reason: "primary is lost"})
 }
+
+// Guards against a promotion that loses commits which only the target of an earlier order holds:
+// it received them after its pause was lifted, and was lost.
+func TestLostTargetOfAnOrderIsWaitedFor(t *testing.T) {
+	run := New(false)
+	run.Next(1, lost(replica("a", 10, 0), replica("b", 10, 0), replica("c", 10, 0)))
+	d := run.Next(1, lost(replica("a", 10, 2), replica("b", 10, 2), replica("c", 10, 2)))
+	assert.DeepEqual(t, d, Decision{Step: StepPromote, Target: "a", Reason: "primary is lost"})
+	v := lost(replica("b", 10, 2), replica("c", 10, 2))
+	v.ReplicaLost = true
+	assert.DeepEqual(t, run.Next(1, v), Decision{Step: StepWait, Reason: "a lost replica may hold more"})
+}
