Evidence for a commit is judged by what is known after the answers

Found by review and by a model of the change, before any caller saw it: a commit could be reported on a status that was older than the order that made it void, on the log of a replica that a later primary had not rolled back yet, or because its primary led again in a later term.

Each member is now asked again on its own, the evidence is read again after each answer, and a commit whose primary no longer leads the same term must be held by the one that does. A failing renewal of the lease counts as a store that may be lost until one succeeds. An announced takeover ends when a restored store shows the claim of an earlier epoch.

--- a/core/takeover/evidence.go
+++ b/core/takeover/evidence.go
@@ -1,6 +1,10 @@
 package takeover
 
-import "skylarkhinge.dev/skylarkhinge/core/entity"
+import (
+	"slices"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
+)
 
 // Evidence is what a proxy knows of a takeover of a group when the primary acknowledges a
 // commit. The zero value means that no takeover is open.
@@ -12,19 +16,32 @@
 	Claimed bool
 	// Uncertain is set if a takeover may be open that the proxy does not know of.
 	Uncertain bool
+	// Replaced is set if the primary that acknowledged the commit is not known to lead the same term
+	// still. Then the one that leads, Leader, must hold the commit, empty if it is not known.
+	Replaced bool
+	Leader   entity.Upstream
 }
 
 // Required reports whether the acknowledgement of the primary alone is not sufficient.
-func (e *Evidence) Required() bool { return len(e.Ordered) > 0 || e.Claimed || e.Uncertain }
+func (e *Evidence) Required() bool {
+	return len(e.Ordered) > 0 || e.Claimed || e.Uncertain || e.Replaced
+}
+
+// Equal reports whether the same members count as evidence.
+func (e *Evidence) Equal(other *Evidence) bool {
+	return slices.Equal(e.Ordered, other.Ordered) && e.Claimed == other.Claimed && e.Uncertain == other.Uncertain &&
+		e.Replaced == other.Replaced && e.Leader == other.Leader
+}
 
 // Holder is the state of one member as evidence for a commit.
 type Holder struct {
 	Name entity.Upstream
 	// Listed is set if the member was listed before the takeover began.
 	Listed bool
-	// Reached is set if the member answered a status request. Term is the highest term that it
-	// knows, Received the end of the log that it holds.
+	// Reached is set if the member answered a status request, Primary if it answered that it leads.
+	// Term is the highest term that it knows, Received the end of the log that it holds.
 	Reached  bool
+	Primary  bool
 	Term     uint64
 	Received entity.Position
 }
@@ -39,6 +56,17 @@
 // position: every target of an open order holds it, or if none is open, a member that is counted
 // when the successor is chosen.
 func (e *Evidence) Holds(primary entity.Upstream, position entity.Position, members []Holder) bool {
+	if e.Replaced {
+		leader := slices.IndexFunc(members, func(h Holder) bool { return h.Name == e.Leader && h.Primary && h.holds(position) })
+		if leader < 0 {
+			return false
+		}
+		// The log of the one that acknowledged may have been rolled back.
+		primary = e.Leader
+		if len(e.Ordered) == 0 {
+			return true
+		}
+	}
 	if len(e.Ordered) == 0 {
 		for i := range members {
 			if m := &members[i]; m.Name != primary && m.Listed && m.holds(position) {
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -38,8 +38,7 @@
 }
 
 // claim is a takeover claim held by this proxy: a leased key that allows one proxy at a
-// time to promote in a database. Its fencing token follows from the revision of the last write
-// of the key, so no two claims have the same token.
+// time to promote in a database.
 type claim struct {
 	proxy *Proxy
 	key   string
@@ -85,10 +84,10 @@
 	return c, nil
 }
 
-// fence returns the fencing token of the claim.
+// fence returns a number that identifies the claim in logs, lower than the token of each of its orders.
 func (c *claim) fence() uint64 { return c.revision.FencingToken() }
 
-// writeKey rewrites the key, which changes the fencing token.
+// writeKey writes the key.
 func (c *claim) writeKey() error {
 	value, err := json.Marshal(claimRecord{Holder: c.proxy.settings().VM, Epoch: c.lease.Epoch})
 	if err != nil {
@@ -159,7 +158,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if removed && d.claimRemovedAt.before(revision) {
+	if !record.held() && d.claimRemovedAt.before(revision) {
 		d.claimRemovedAt = revision
 	}
 	if d.claim.held() && !record.held() {
--- a/internal/managed/commit.go
+++ b/internal/managed/commit.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,46 +34,55 @@
 func (c *commit) confirm(s *session, statement *Statement, d *database, deadline entity.Time) bool {
 	began := now()
 	for {
-		evidence, settled := d.commitEvidence(c)
-		if !evidence.Required() && settled {
+		evidence := d.commitEvidence(c)
+		if !evidence.Required() {
 			return true
 		}
-		held, superseded := c.findHolders(d, &evidence, deadline)
-		if held {
+		switch c.awaitHolders(d, &evidence, deadline) {
+		case commitHeld:
 			s.proxy.events.commitConfirmed(s, statement, d.name, c, now().Sub(began))
 			return true
-		}
-		if superseded || now().Add(holderPollInterval) >= deadline {
+		case commitMayBeLost:
 			s.proxy.events.commitInDoubt(s, statement, d.name, c, &evidence)
 			return false
 		}
-		time.Sleep(holderPollInterval)
 	}
 }
 
-// commitEvidence returns what is known of takeovers. settled is set if the commit's primary still is
-// the believed one. Otherwise the present primary must hold the commit.
-func (d *database) commitEvidence(c *commit) (evidence takeover.Evidence, settled bool) {
+// commitVerdict is what is known of a commit.
+type commitVerdict int
+
+const (
+	commitHeld commitVerdict = iota
+	// commitMayBeLost means that the time has passed, or that a later primary leads which may lack
+	// the commit.
+	commitMayBeLost
+	// evidenceChanged means that other members count than before.
+	evidenceChanged
+)
+
+// commitEvidence returns what is known of takeovers.
+func (d *database) commitEvidence(c *commit) takeover.Evidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.limits.SyncReplicas == 0 {
-		return takeover.Evidence{}, true
+		return takeover.Evidence{}
 	}
-	evidence = takeover.Evidence{
+	evidence := takeover.Evidence{
 		Ordered: d.orders.Targets, Claimed: d.openClaim() != Revision{},
 		Uncertain: d.proxy.storeUncertain() || c.took >= slowCommit,
+		Replaced:  d.primary != c.primary || d.primaryTerm != c.position.Term,
 	}
-	settled = d.primary == c.primary
-	if !settled && d.primary != nil && !evidence.Required() {
-		evidence.Ordered = []entity.Upstream{d.primary.name}
+	if evidence.Replaced && d.primary != nil {
+		evidence.Leader = d.primary.name
 	}
-	return evidence, settled
+	return evidence
 }
 
 // storeUncertain reports whether changes of the store may fail to reach this proxy.
 func (p *Proxy) storeUncertain() bool {
 	sent := entity.Time(p.renewalSentAt.Load())
-	return p.storeLost.Load() || sent != 0 && now().Sub(sent) >= overdueRenewal
+	return p.storeLost.Load() || p.renewalFails.Load() || sent != 0 && now().Sub(sent) >= overdueRenewal
 }
 
 // openClaim returns the revision of the claim of a takeover that has not ended, zero if there is
@@ -97,54 +107,75 @@
 	return !ended && now() < d.announcedUntil
 }
 
-// findHolders queries the members that count as evidence and reports whether they hold the commit.
-// superseded is set if a later primary leads, so that they never will.
-func (c *commit) findHolders(d *database, evidence *takeover.Evidence, deadline entity.Time) (held, superseded bool) {
+// awaitHolders queries the members that count as evidence until they hold the commit.
+func (c *commit) awaitHolders(d *database, evidence *takeover.Evidence, deadline entity.Time) commitVerdict {
 	if evidence.Holds(c.primary.name, c.position, nil) {
-		return true, false
+		return commitHeld
 	}
 	members, listed := d.possibleHolders(c, evidence)
-	answers := make(chan takeover.Holder, len(members))
+	ended := make(chan struct{})
+	defer close(ended)
+	answers := make(chan takeover.Holder)
 	for i, m := range members {
-		go func() {
-			h := d.monitor.sharedStatus(m)
-			h.Listed = listed[i]
-			answers <- h
-		}()
+		go d.monitor.pollHolder(m, listed[i], answers, ended)
 	}
-	timeout := time.NewTimer(max(deadline.Sub(now()), 0))
-	defer timeout.Stop()
-	var holders []takeover.Holder
-	for range members {
+	ticker := time.NewTicker(holderPollInterval)
+	defer ticker.Stop()
+	answered := map[entity.Upstream]takeover.Holder{}
+	for now() < deadline {
 		select {
 		case h := <-answers:
-			holders = append(holders, h)
-		case <-timeout.C:
-			return false, false
+			answered[h.Name] = h
+		case <-ticker.C:
 		}
+		// The answers are judged by what is known after them.
+		if latest := d.commitEvidence(c); !latest.Equal(evidence) {
+			return evidenceChanged
+		}
+		holders := slices.Collect(maps.Values(answered))
 		if evidence.Holds(c.primary.name, c.position, holders) {
-			return true, false
+			return commitHeld
+		}
+		if len(members) > 0 && len(holders) == len(members) && takeover.Superseded(c.position, holders) {
+			return commitMayBeLost
+		}
+	}
+	return commitMayBeLost
+}
+
+// pollHolder sends the status of a member again and again until ended is closed.
+func (mon *monitor) pollHolder(m *member, listed bool, answers chan<- takeover.Holder, ended <-chan struct{}) {
+	for {
+		h := mon.sharedStatus(m)
+		h.Listed = listed
+		select {
+		case answers <- h:
+		case <-ended:
+			return
+		}
+		select {
+		case <-time.After(holderPollInterval):
+		case <-ended:
+			return
 		}
 	}
-	return false, takeover.Superseded(c.position, holders)
 }
 
-// possibleHolders returns the members other than the primary whose logs count as evidence, and
-// whether each was listed before the open claim.
+// possibleHolders returns the members whose logs count as evidence, and whether each was listed
+// before the open claim.
 func (d *database) possibleHolders(c *commit, evidence *takeover.Evidence) (members []*member, listed []bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	claim := d.openClaim()
 	for _, m := range d.members {
 		before := claim == Revision{} || m.listedAt.Epoch == claim.Epoch && m.listedAt.Number < claim.Number
-		counts := before && m.missingSince == 0
-		if len(evidence.Ordered) > 0 {
-			counts = slices.Contains(evidence.Ordered, m.name)
+		counts := slices.Contains(evidence.Ordered, m.name) || evidence.Replaced && m.name == evidence.Leader
+		if len(evidence.Ordered) == 0 && !evidence.Replaced {
+			counts = before && m.missingSince == 0
 		}
-		if m == c.primary || !counts {
-			continue
+		if counts && (m != c.primary || evidence.Replaced) {
+			members, listed = append(members, m), append(listed, before)
 		}
-		members, listed = append(members, m), append(listed, before)
 	}
 	return members, listed
 }
@@ -166,7 +197,9 @@
 		m.statusCall = call
 		go func() {
 			r := mon.queryMember(m, Command{Kind: CommandStatus})
-			call.holder = takeover.Holder{Name: m.name, Reached: r.err == nil, Term: r.status.Term, Received: r.status.Received}
+			call.holder = takeover.Holder{
+				Name: m.name, Reached: r.err == nil, Primary: r.err == nil && r.status.Primary, Term: r.status.Term, Received: r.status.Received,
+			}
 			d.mu.Lock()
 			m.statusCall = nil
 			d.mu.Unlock()
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -71,6 +71,9 @@
 	appliedRevision atomic.Pointer[Revision]
 	// storeLost is set while the store does not answer.
 	storeLost atomic.Bool
+	// renewalFails is set while the renewal of the proxy's lease fails. The store gets no other calls
+	// then: a renewal costs a tenth of a watch.
+	renewalFails atomic.Bool
 	// renewalSentAt is when the renewal of the proxy's lease that is in progress was sent, 0 if none
 	// is.
 	renewalSentAt atomic.Int64
--- a/internal/managed/sharedwatch.go
+++ b/internal/managed/sharedwatch.go
@@ -166,7 +166,7 @@
 		}
 	}
 	s.setWatcher("")
-	if s.renewalFails.Load() || follows && !s.source.StoreDue(now()) {
+	if s.proxy.renewalFails.Load() || follows && !s.source.StoreDue(now()) {
 		return update{}, errStorePaused
 	}
 	u, err := s.watchStore(ctx)
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -116,9 +116,6 @@
 	mustList  bool
 	lostSince time.Time
 	lease     Lease
-	// renewalFails is set while the renewal of the lease fails. The store gets no other calls
-	// then: a renewal costs a tenth of a watch.
-	renewalFails atomic.Bool
 	// reregister signals that the proxy's own entry was removed from the store.
 	reregister chan struct{}
 	// listed is closed after the first listing. ownRevision is the revision of the entry
@@ -391,7 +388,7 @@
 // shutdown begins.
 func (s *storeSync) keepRegistered(ctx context.Context) {
 	listed := false
-	defer s.renewalFails.Store(false)
+	defer s.proxy.renewalFails.Store(false)
 	select {
 	case <-s.listed:
 	case <-time.After(storeTimeout):
@@ -422,7 +419,7 @@
 			}
 			// The entry exists as long as its lease, so a failed renewal is repeated: it costs a
 			// tenth of writing the entry again.
-			s.renewalFails.Store(listed)
+			s.proxy.renewalFails.Store(listed)
 			s.proxy.events.storeFailed("register", err)
 			if cancel := s.cancelWatch.Load(); cancel != nil {
 				(*cancel)()
@@ -431,7 +428,7 @@
 			backoff = min(2*backoff, maxRegisterBackoff)
 			continue
 		}
-		s.renewalFails.Store(false)
+		s.proxy.renewalFails.Store(false)
 		listed, backoff = true, maxSyncBackoff
 		timer.Reset(vmRenewal)
 	}
