A holder writes the record of orders only over what it has read

Found by review and by a model: a holder that was suspended took the record of the next holder, which the watch had told of, for its own and overwrote it with fewer orders. If the next holder failed, its order was known to nobody again. TestSuspendedHolderKeepsTheOrdersOfTheNext fails without the change.

The same review: before an order is sent while another one is open, the holder asks the members again after the record is written, since the target of the earlier one may lead by now; pauses are lifted only with a valid claim; a refused order leaves the record when the takeover is given up; a takeover that repeated its order waits before this proxy begins another one, since the earlier order may take effect a second time.

--- a/internal/managed/orders.go
+++ b/internal/managed/orders.go
@@ -13,6 +13,10 @@
 // lease: an order outlasts its sender.
 const ordersPrefix = "promotion/"
 
+// openOrderCheckDelay is the delay until the orders that a takeover left open are checked. Commits need
+// more evidence until they are over.
+const openOrderCheckDelay = 500 * time.Millisecond
+
 // orderRecord is the stored list of a database's open orders. An order is a promotion that was
 // sent, or is about to be, and may still take effect.
 type orderRecord struct {
@@ -165,7 +169,7 @@
 
 // targets returns the targets of the open orders, each once, by the last order for it.
 func (l *orderLog) targets() []entity.Upstream {
-	var targets []entity.Upstream
+	targets := []entity.Upstream{}
 	for i := len(l.open) - 1; i >= 0; i-- {
 		if !slices.Contains(targets, l.open[i].target) {
 			targets = append(targets, l.open[i].target)
@@ -174,7 +178,3 @@
 	slices.Reverse(targets)
 	return targets
 }
-
-// openOrderCheckDelay is the delay from the end of a claim to the check of the orders that it
-// left open. Commits need more evidence until they are revoked.
-const openOrderCheckDelay = 500 * time.Millisecond
--- a/internal/managed/orders_test.go
+++ b/internal/managed/orders_test.go
@@ -1,8 +1,10 @@
 package managed
 
 import (
+	"context"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -65,6 +67,8 @@
 	}
 	for _, end := range []func(*database){
 		func(d *database) { d.applyClaim(nil, Revision{2, 20}, true) },
+		// A restored store may hold the claim of an earlier epoch.
+		func(d *database) { d.applyClaim([]byte(`{"holder":"a","epoch":2}`), Revision{3, 9}, false) },
 		func(d *database) {
 			d.applyOrders([]byte(`{"epoch":2,"claim":15,"targets":[],"concluded":true}`), Revision{2, 20}, false)
 		},
@@ -82,3 +86,50 @@
 	d.applyAnnouncement(Revision{2, 15})
 	assert.Equal(t, open(d), Revision{})
 }
+
+// conditionalStore holds one key. Leases have ended.
+type conditionalStore struct {
+	Store
+	number uint64
+	value  string
+}
+
+func (s *conditionalStore) Epoch() uint64 { return 2 }
+
+func (s *conditionalStore) RenewLease(context.Context, Lease) error { return ErrLeaseExpired }
+
+func (s *conditionalStore) RevokeLease(context.Context, Lease) error { return nil }
+
+func (s *conditionalStore) Put(_ context.Context, _ string, value []byte, revision uint64, _ Lease) (uint64, error) {
+	if revision != s.number {
+		return 0, ErrConflict
+	}
+	s.number++
+	s.value = string(value)
+	return s.number, nil
+}
+
+// Guards against a holder that was suspended and forgets the orders of the next holder, which the
+// watch has told of meanwhile.
+func TestSuspendedHolderKeepsTheOrdersOfTheNext(t *testing.T) {
+	for name, resume := range map[string]func(*takeoverRun){
+		"conclude": func(r *takeoverRun) { r.ordered = true; r.conclude("promoted") },
+		"order":    func(r *takeoverRun) { assert.Equal(t, r.order("z", nil), orderRefused) },
+		"give up":  func(r *takeoverRun) { r.orders = orderLog{}; r.giveUp() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectoryTest()
+			d.applyOrders([]byte(`{"epoch":2,"claim":10,"targets":["x"]}`), Revision{2, 12}, false)
+			c := &claim{proxy: d.proxy, lease: Lease{2, 1}, revision: Revision{2, 10}, validUntil: now().Add(time.Minute)}
+			r := &takeoverRun{monitor: d.monitor, db: d, claim: c, prepared: true, recordedAt: Revision{2, 12}}
+			r.orders.inherit([]entity.Upstream{"x"})
+			next := `{"epoch":2,"claim":15,"targets":["x","y"]}`
+			s := &conditionalStore{number: 16, value: next}
+			d.proxy.options.Store = s
+			d.applyOrders([]byte(next), Revision{2, 16}, false)
+			resume(r)
+			assert.Equal(t, s.value, next)
+			assert.DeepEqual(t, d.openOrders().Targets, []entity.Upstream{"x", "y"})
+		})
+	}
+}
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// takeoverLimit bounds one takeover, unless the promotion of the successor of a lost primary
-	// is pending. If it expires, another proxy may be able to reach members that this one cannot.
+	// takeoverLimit bounds one takeover, unless orders are open while no primary is known to lead. If it
+	// expires, another proxy may be able to reach members that this one cannot.
 	takeoverLimit = 2500 * time.Millisecond
 	// takeoverPollInterval is the interval between status queries during a takeover.
 	takeoverPollInterval = 40 * time.Millisecond
@@ -120,6 +120,11 @@
 	paused map[entity.Upstream]*member
 	// orders are the open orders. Members other than their targets stay paused while there are any.
 	orders orderLog
+	// term is the highest term that a member knew when the last decision was made.
+	term uint64
+	// recordedAt is the revision of the record of open orders that this takeover read or wrote last. If
+	// another holder has written it since, the next write fails.
+	recordedAt Revision
 	// awaitAnnounced waits until the other gateways know of the takeover, for a limited time.
 	awaitAnnounced func()
 	// ordered is set once an order was sent.
@@ -154,7 +159,9 @@
 			t.resume(membersNamed(reports, decision.Members))
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
-			t.liftPauses()
+			if t.claim.validFor(0) {
+				t.liftPauses()
+			}
 			t.conclude("another primary leads")
 			return
 		case takeover.StepRevoke:
@@ -226,8 +233,9 @@
 	if loaded != nil || !read {
 		return false
 	}
-	t.orders = orderLog{}
-	t.orders.inherit(t.db.openOrders().Targets)
+	record := t.db.openOrders()
+	t.orders, t.recordedAt = orderLog{}, record.revision
+	t.orders.inherit(record.Targets)
 	t.prepared = true
 	return true
 }
@@ -280,6 +288,7 @@
 	defer d.mu.Unlock()
 	at := now()
 	t.orders.expire(at)
+	t.term = d.primaryTerm
 	v := takeover.View{
 		Ordered:       t.orders.targets(),
 		KeepLeader:    t.keepLeader,
@@ -300,6 +309,7 @@
 			Name: r.entry.Name, Reached: r.err == nil, Primary: r.status.Primary, Term: r.status.Term,
 			PauseTerm: r.status.PauseTerm, Received: r.status.Received, Leaving: r.member.leavingSince != 0,
 		}
+		t.term = max(t.term, m.Term)
 		switch {
 		case r.member == t.replaced:
 			v.LeaderHealthy = m.Reached && m.Primary
@@ -351,9 +361,12 @@
 		time.Sleep(takeoverPollInterval)
 		return
 	}
-	t.sendResume(members)
-	// What follows is a new attempt, with another successor.
-	t.startedAt = now()
+	if t.sendResume(members) {
+		// What follows is a new attempt, with another successor.
+		t.startedAt = now()
+	} else {
+		time.Sleep(takeoverPollInterval)
+	}
 }
 
 // mustRevoke reports whether an order may be open before the pauses of members are lifted. Pauses
@@ -366,13 +379,16 @@
 	return !record.complete() && slices.ContainsFunc(members, func(m *member) bool { return t.paused[m.name] == nil })
 }
 
-func (t *takeoverRun) sendResume(members []*member) {
+// sendResume lifts the pauses of members. It reports whether any did so.
+func (t *takeoverRun) sendResume(members []*member) (resumed bool) {
 	for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
 		t.db.proxy.events.memberResumed(t.db.name, r.entry.Name, r.err)
 		if r.err == nil {
 			delete(t.paused, r.member.name)
+			resumed = true
 		}
 	}
+	return resumed
 }
 
 // revokeOrders makes sure that no earlier order of a promotion is carried out any more: it
@@ -431,7 +447,7 @@
 			return orderRefused
 		}
 	}
-	fence := t.db.openOrders().revision.FencingToken()
+	fence := t.recordedAt.FencingToken()
 	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
 	err := t.db.proxy.options.Promoter.Promote(ctx, t.db.name, target, t.db.proxy.settings().VM, fence)
 	cancel()
@@ -454,10 +470,15 @@
 	return orderAccepted
 }
 
-// stillLeads reports whether a member leads, or for nil whether none that answers does.
+// stillLeads reports whether a member leads, or for nil whether none that answers does, and no
+// member knows of a later promotion than the decision did.
 func (t *takeoverRun) stillLeads(leader *member) bool {
-	newest := newestPrimary(t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery()))
-	return newest == nil && leader == nil || newest != nil && newest.member == leader
+	reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
+	newest := newestPrimary(reports)
+	if newest == nil && leader != nil || newest != nil && newest.member != leader {
+		return false
+	}
+	return !slices.ContainsFunc(reports, func(r statusReport) bool { return r.err == nil && r.status.Term > t.term })
 }
 
 // writeOrders writes the record of open orders. On an error it may have been written.
@@ -472,11 +493,12 @@
 	defer cancel()
 	// Without a lease the record outlasts this proxy.
 	epoch := t.claim.lease.Epoch
-	number, err := d.proxy.options.Store.Put(ctx, ordersPrefix+string(d.name), value, d.openOrders().revision.Number, Lease{Epoch: epoch})
+	number, err := d.proxy.options.Store.Put(ctx, ordersPrefix+string(d.name), value, t.recordedAt.Number, Lease{Epoch: epoch})
 	if err != nil {
 		return err
 	}
-	record.revision = Revision{epoch, number}
+	t.recordedAt = Revision{epoch, number}
+	record.revision = t.recordedAt
 	d.setOrders(record)
 	return nil
 }
@@ -533,7 +555,7 @@
 	}
 	for end := now().Add(wait); now() < end; time.Sleep(takeoverPollInterval) {
 		if t.monitor.adoptNewestPrimary(t.monitor.queryMembers(Command{Kind: CommandStatus}, members)) {
-			t.db.proxy.events.promotionEffective(t.db.name, target, t.claim.fence(), now().Sub(began))
+			t.db.proxy.events.promotionEffective(t.db.name, target, t.recordedAt.FencingToken(), now().Sub(began))
 			return true
 		}
 		if added := t.db.startedMembers(known, target); len(added) > 0 {
@@ -564,8 +586,13 @@
 // conclude ends a takeover after which a member leads and no order with another target is open.
 func (t *takeoverRun) conclude(outcome string) {
 	t.db.proxy.events.takeoverEnded(t.db.name, outcome, t.claim.fence(), len(t.orders.open))
+	if len(t.orders.open) > 1 {
+		// Another order for the member that leads may have been carried out and take effect yet. Only
+		// this proxy can acquire the claim before.
+		t.monitor.nextTakeover = now().Add(newPrimaryTimeout)
+	}
 	t.orders.open = nil
-	if t.ordered || len(t.db.openOrders().Targets) > 0 {
+	if t.claim.validFor(0) && (t.ordered || len(t.db.openOrders().Targets) > 0) {
 		if err := t.writeOrders(true); err != nil {
 			t.db.proxy.events.storeFailed("conclude_orders", err)
 		}
@@ -579,8 +606,8 @@
 	t.orders.expire(now())
 	t.db.proxy.events.takeoverEnded(t.db.name, "given up", t.claim.fence(), len(t.orders.open))
 	// Without a valid claim the pauses may be those of another proxy.
-	held := t.prepared && !t.fenceRefused && t.claim.validFor(0)
-	if held && len(t.orders.open) == 0 && (t.planned || t.reason == primaryStalled) {
+	held := t.prepared && t.claim.validFor(0)
+	if held && !t.fenceRefused && len(t.orders.open) == 0 && (t.planned || t.reason == primaryStalled) {
 		t.liftPauses()
 	}
 	if held && !slices.Equal(t.orders.targets(), t.db.openOrders().Targets) {
@@ -600,8 +627,8 @@
 	}
 }
 
-// settleTakeover ends what a failed proxy left while the primary is healthy: it revokes open
-// orders and resumes paused replicas.
+// settleTakeover ends what a failed proxy left while the primary is healthy: open orders, and
+// replicas that are paused.
 func (mon *monitor) settleTakeover(primary *member) {
 	if now() < mon.nextTakeover {
 		return
