A commit needs evidence also when its takeover ends while it is in flight

Found by porting the model to the code, before any caller saw it. A proxy reported a commit because the record showed that the order was over, before it had found the new primary, which lacked the commit. And an open order for the present primary, which a failed holder had left, hid a new claim: the primary's own word counted then.

A commit that was sent before a change of claims or open orders needs the answer of the member that leads. While a takeover is open, a member other than the primary that was listed before it must hold the commit, unless the target of an order is another one. Pauses are lifted with a valid claim only, everywhere.

TestCommitIsNotReportedBecauseItsOrderIsOver fails without the change, and two cases of TestEvidenceHolds.

--- a/core/takeover/evidence.go
+++ b/core/takeover/evidence.go
@@ -11,13 +11,13 @@
 type Evidence struct {
 	// Ordered are the targets of open orders.
 	Ordered []entity.Upstream
-	// Claimed is set while a takeover is open that has not sent an order. The members with
-	// Listed set are counted when it chooses a successor.
+	// Claimed is set while a takeover is open. The members with Listed set are counted when it chooses
+	// a successor.
 	Claimed bool
 	// Uncertain is set if a takeover may be open that the proxy does not know of.
 	Uncertain bool
-	// Replaced is set if the primary that acknowledged the commit is not known to lead the same term
-	// still. Then the one that leads, Leader, must hold the commit, empty if it is not known.
+	// Replaced is set if the primary that acknowledged the commit may not lead the same term any more.
+	// Then the one that leads, Leader, must hold the commit, empty if it is not known.
 	Replaced bool
 	Leader   entity.Upstream
 }
@@ -52,35 +52,39 @@
 	return h.Reached && h.Received.Term == position.Term && !h.Received.Less(position)
 }
 
+// NeedsListed reports whether a member other than the primary that was listed before the takeover must
+// hold a commit: a successor may be chosen among them yet. The target of an open order suffices too.
+func (e *Evidence) NeedsListed(primary entity.Upstream) bool {
+	if !e.Claimed && !e.Uncertain {
+		return false
+	}
+	if e.Replaced {
+		primary = e.Leader
+	}
+	return !slices.ContainsFunc(e.Ordered, func(target entity.Upstream) bool { return target != primary })
+}
+
 // Holds reports whether a promotion keeps a commit that the primary acknowledged at the given
-// position: every target of an open order holds it, or if none is open, a member that is counted
-// when the successor is chosen.
+// position: every target of an open order holds it, and a member that is counted when a successor is
+// chosen.
 func (e *Evidence) Holds(primary entity.Upstream, position entity.Position, members []Holder) bool {
+	needsListed := e.NeedsListed(primary)
 	if e.Replaced {
-		leader := slices.IndexFunc(members, func(h Holder) bool { return h.Name == e.Leader && h.Primary && h.holds(position) })
-		if leader < 0 {
+		leads := slices.ContainsFunc(members, func(h Holder) bool { return h.Name == e.Leader && h.Primary && h.holds(position) })
+		if !leads {
 			return false
 		}
 		// The log of the one that acknowledged may have been rolled back.
 		primary = e.Leader
-		if len(e.Ordered) == 0 {
-			return true
-		}
-	}
-	if len(e.Ordered) == 0 {
-		for i := range members {
-			if m := &members[i]; m.Name != primary && m.Listed && m.holds(position) {
-				return true
-			}
-		}
-		return false
 	}
 	for _, target := range e.Ordered {
 		if target != primary && !anyHolds(members, target, position) {
 			return false
 		}
 	}
-	return true
+	return !needsListed || slices.ContainsFunc(members, func(h Holder) bool {
+		return h.Name != primary && h.Listed && h.holds(position)
+	})
 }
 
 func anyHolds(members []Holder, name entity.Upstream, position entity.Position) bool {
--- a/internal/managed/attempt.go
+++ b/internal/managed/attempt.go
@@ -303,7 +303,7 @@
 // waits for the evidence that a promotion under way keeps the write.
 func (a *attempt) handleCommit(p *permit, statement *Statement, reply Reply, sent entity.Time) Reply {
 	d := a.db
-	c := commit{primary: p.member, position: reply.Position, took: now().Sub(sent)}
+	c := newCommit(p.member, reply.Position, sent)
 	d.recordConfirmation(p.member, sent, reply.Position)
 	a.endServed(p)
 	if !c.confirm(a.session, statement, d, a.deadline) {
--- a/internal/managed/claim.go
+++ b/internal/managed/claim.go
@@ -144,7 +144,7 @@
 func (d *database) setOwnClaim(c *claim) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ownClaim = c
+	d.ownClaim, d.takeoverChangedAt = c, now()
 }
 
 // applyClaim records the claim stored for the database, or its removal at a revision.
@@ -168,6 +168,8 @@
 		}
 		d.monitor.schedulePauseCheck(delay)
 	}
-	d.claim = record
+	if d.claim != record {
+		d.claim, d.takeoverChangedAt = record, now()
+	}
 	d.monitor.wake()
 }
--- a/internal/managed/commit.go
+++ b/internal/managed/commit.go
@@ -25,10 +25,16 @@
 type commit struct {
 	primary  *member
 	position entity.Position
-	// took is the time from the statement to the acknowledgement.
+	// sent is when the statement was sent, took the time from then to the acknowledgement.
+	sent entity.Time
 	took time.Duration
 }
 
+// newCommit returns a commit that a primary has just acknowledged.
+func newCommit(primary *member, position entity.Position, sent entity.Time) commit {
+	return commit{primary: primary, position: position, sent: sent, took: now().Sub(sent)}
+}
+
 // confirm reports whether a commit may be reported to its caller: no promotion that is under way
 // will lose it. It waits for that until the deadline. See docs/design/open-orders.md.
 func (c *commit) confirm(s *session, statement *Statement, d *database, deadline entity.Time) bool {
@@ -71,7 +77,9 @@
 	evidence := takeover.Evidence{
 		Ordered: d.orders.Targets, Claimed: d.openClaim() != Revision{},
 		Uncertain: d.proxy.storeUncertain() || c.took >= slowCommit,
-		Replaced:  d.primary != c.primary || d.primaryTerm != c.position.Term,
+		// A takeover that ended since then may have replaced the primary, which this proxy may not know
+		// yet.
+		Replaced: d.primary != c.primary || d.primaryTerm != c.position.Term || d.takeoverChangedAt >= c.sent,
 	}
 	if evidence.Replaced && d.primary != nil {
 		evidence.Leader = d.primary.name
@@ -169,10 +177,8 @@
 	claim := d.openClaim()
 	for _, m := range d.members {
 		before := claim == Revision{} || m.listedAt.Epoch == claim.Epoch && m.listedAt.Number < claim.Number
-		counts := slices.Contains(evidence.Ordered, m.name) || evidence.Replaced && m.name == evidence.Leader
-		if len(evidence.Ordered) == 0 && !evidence.Replaced {
-			counts = before && m.missingSince == 0
-		}
+		counts := slices.Contains(evidence.Ordered, m.name) || evidence.Replaced && m.name == evidence.Leader ||
+			evidence.NeedsListed(c.primary.name) && before && m.missingSince == 0
 		if counts && (m != c.primary || evidence.Replaced) {
 			members, listed = append(members, m), append(listed, before)
 		}
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -73,6 +73,8 @@
 	// last revision at which the store was seen without a claim.
 	announced, claimRemovedAt Revision
 	announcedUntil            entity.Time
+	// takeoverChangedAt is when what is known of claims and open orders last changed.
+	takeoverChangedAt entity.Time
 	// ownClaim is the claim that this proxy holds, nil if it holds none.
 	ownClaim *claim
 	// orders are the open orders of promotions seen in the store.
--- a/internal/managed/orders.go
+++ b/internal/managed/orders.go
@@ -72,6 +72,9 @@
 	if !slices.Equal(known.Targets, record.Targets) {
 		d.proxy.events.ordersOpen(d.name, &record)
 	}
+	if len(known.Targets)+len(record.Targets) > 0 {
+		d.takeoverChangedAt = now()
+	}
 	d.orders = record
 	if len(record.Targets) > 0 {
 		d.monitor.schedulePauseCheck(openOrderCheckDelay)
--- a/internal/managed/orders_test.go
+++ b/internal/managed/orders_test.go
@@ -133,3 +133,26 @@
 		})
 	}
 }
+
+// Guards against a commit that waited for the target of an order and is reported when the order is
+// over: until the proxy has found the new primary, which may lack the commit, it takes the replaced one
+// for the primary.
+func TestCommitIsNotReportedBecauseItsOrderIsOver(t *testing.T) {
+	d := newDirectoryTest()
+	d.limits.SyncReplicas = 1
+	for _, name := range []entity.Upstream{"a", "b"} {
+		d.putMember(Member{Name: name, Slots: 5}, 0, Revision{2, 1})
+	}
+	d.setPrimary(d.members["a"], 1, "test")
+	// Neither answers this proxy.
+	for _, m := range d.members {
+		m.statusCall = &statusCall{done: make(chan struct{})}
+	}
+	d.applyOrders([]byte(`{"epoch":2,"claim":15,"targets":["b"]}`), Revision{2, 16}, false)
+	time.AfterFunc(50*time.Millisecond, func() {
+		d.applyOrders([]byte(`{"epoch":2,"claim":15,"targets":[],"concluded":true}`), Revision{2, 17}, false)
+	})
+	c := newCommit(d.members["a"], entity.Position{Term: 1, Offset: 7}, now())
+	s := &session{proxy: d.proxy}
+	assert.Assert(t, !c.confirm(s, &Statement{}, d, now().Add(300*time.Millisecond)))
+}
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -159,9 +159,7 @@
 			t.resume(membersNamed(reports, decision.Members))
 		case takeover.StepDone:
 			t.monitor.adoptNewestPrimary(reports)
-			if t.claim.validFor(0) {
-				t.liftPauses()
-			}
+			t.liftPauses()
 			t.conclude("another primary leads")
 			return
 		case takeover.StepRevoke:
@@ -379,8 +377,12 @@
 	return !record.complete() && slices.ContainsFunc(members, func(m *member) bool { return t.paused[m.name] == nil })
 }
 
-// sendResume lifts the pauses of members. It reports whether any did so.
+// sendResume lifts the pauses of members, unless they may be those of another holder. It reports
+// whether any did so.
 func (t *takeoverRun) sendResume(members []*member) (resumed bool) {
+	if !t.claim.validFor(0) {
+		return false
+	}
 	for _, r := range t.monitor.queryMembers(Command{Kind: CommandResume}, members) {
 		t.db.proxy.events.memberResumed(t.db.name, r.entry.Name, r.err)
 		if r.err == nil {
--- a/internal/managed/transaction.go
+++ b/internal/managed/transaction.go
@@ -255,7 +255,7 @@
 		return t.replyAfterFailure(statement, reply)
 	}
 	// The transaction has ended at the upstream.
-	c := commit{primary: t.conn.member, position: reply.Position, took: now().Sub(sent)}
+	c := newCommit(t.conn.member, reply.Position, sent)
 	t.releaseConn()
 	if reply.Code == CodeNone && t.wrote {
 		if c.confirm(s, statement, t.db, deadline) {
