--- a/core/entity/entity.go
+++ b/core/entity/entity.go
@@ -2,10 +2,7 @@
 // the decision core.
 package entity
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // Time is a monotonic instant in nanoseconds since an arbitrary origin.
 type Time int64
@@ -68,9 +65,6 @@
 // IsZero reports whether p is unset.
 func (p Position) IsZero() bool { return p == Position{} }
 
-// String returns the position as term and offset, such as 3.1207.
-func (p Position) String() string { return fmt.Sprintf("%d.%d", p.Term, p.Offset) }
-
 // TermStart is the offset at which the log of a term begins.
 type TermStart struct {
 	Term   uint64 `json:"term"`
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -355,7 +356,7 @@
 
 func commitFields(s *session, statement *Statement, db entity.Database, c *commit) logrus.Fields {
 	return logrus.Fields{
-		"id": statement.ID, "route": s.databaseName, "group": db, "peer": c.primary.name, "position": c.position.String(), "took_ms": c.took.Milliseconds(),
+		"id": statement.ID, "route": s.databaseName, "group": db, "peer": c.primary.name, "position": fmt.Sprintf("%d.%d", c.position.Term, c.position.Offset), "took_ms": c.took.Milliseconds(),
 	}
 }
 
