Log what members hold in a takeover, what was reported, and on whose word

The logs of the incident could not tell whether the lost commits were on a replica that had left, or whether their loss could be known when the successor was chosen. Each decision of a takeover now shows the members' logs, an upstream that is gone the log it had, a gateway that hears of a takeover the newest commit that it has reported, and a commit that waited for evidence the upstreams that hold it.

--- a/core/takeover/evidence.go
+++ b/core/takeover/evidence.go
@@ -96,6 +96,18 @@
 	return false
 }
 
+// HoldersOf returns the members that hold a commit.
+func HoldersOf(position entity.Position, members []Holder) []entity.Upstream {
+	var names []entity.Upstream
+	for i := range members {
+		if members[i].holds(position) {
+			names = append(names, members[i].Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Superseded reports whether a member knows a term after that of the position: another primary
 // leads, so that a member that did not hold the commit before never will.
 func Superseded(position entity.Position, members []Holder) bool {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -59,7 +59,7 @@
 // databaseEvents are the events about a database that can explain a request, whichever proxy
 // logged them. The event pool counts only if the request's own proxy logged it.
 var databaseEvents = map[string]bool{
-	"primary_changed": true, "primary_missed": true, "takeover_began": true, "takeover_step": true,
+	"primary_changed": true, "primary_missed": true, "takeover_began": true, "takeover_announced": true, "takeover_step": true,
 	"takeover_ended": true, "promotion_ordered": true, "promotion_effective": true, "orders_open": true, "upstream_listed": true, "upstream_missing": true,
 	"upstream_gone": true, "upstream_failed": true, "upstream_resumed": true, "pool": true,
 }
--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -88,5 +88,8 @@
 	if claim.before(d.claimRemovedAt) || claim.before(d.announced) {
 		return
 	}
+	if d.announced != claim {
+		d.proxy.events.takeoverAnnounced(d.name, claim, d.reported)
+	}
 	d.announced, d.announcedUntil = claim, now().Add(announcementTTL)
 }
--- a/internal/managed/commit.go
+++ b/internal/managed/commit.go
@@ -28,6 +28,8 @@
 	// sent is when the statement was sent, took the time from then to the acknowledgement.
 	sent entity.Time
 	took time.Duration
+	// holders are the upstreams that were found to hold the commit, if the primary's word did not suffice.
+	holders []entity.Upstream
 }
 
 // newCommit returns a commit that a primary has just acknowledged.
@@ -42,10 +44,12 @@
 	for {
 		evidence := d.commitEvidence(c)
 		if !evidence.Required() {
+			d.recordReported(c.position)
 			return true
 		}
 		switch c.awaitHolders(d, &evidence, deadline) {
 		case commitHeld:
+			d.recordReported(c.position)
 			s.proxy.events.commitConfirmed(s, statement, d.name, c, now().Sub(began))
 			return true
 		case commitMayBeLost:
@@ -55,6 +59,15 @@
 	}
 }
 
+// recordReported records the position of a commit that is about to be reported to its caller.
+func (d *database) recordReported(position entity.Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reported.Less(position) {
+		d.reported = position
+	}
+}
+
 // commitVerdict is what is known of a commit.
 type commitVerdict int
 
@@ -142,6 +155,7 @@
 		}
 		holders := slices.Collect(maps.Values(answered))
 		if evidence.Holds(c.primary.name, c.position, holders) {
+			c.holders = takeover.HoldersOf(c.position, holders)
 			return commitHeld
 		}
 		if len(members) > 0 && len(holders) == len(members) && takeover.Superseded(c.position, holders) {
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -78,7 +78,9 @@
 	// ownClaim is the claim that this proxy holds, nil if it holds none.
 	ownClaim *claim
 	// orders are the open orders of promotions seen in the store.
-	orders  orderRecord
+	orders orderRecord
+	// reported is the newest commit whose caller this proxy has told of success.
+	reported entity.Position
 	monitor *monitor
 	// primaryLatency is the latency of the last primary that was replaced, 0 if unknown.
 	primaryLatency time.Duration
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -205,8 +205,11 @@
 	e.stateChanged("upstream_missing", logrus.Fields{"database": db, "peer": name})
 }
 
-func (e *events) memberGone(db entity.Database, name entity.Upstream) {
-	e.stateChanged("upstream_gone", logrus.Fields{"database": db, "peer": name})
+// memberGone logs a member that is not used any more, with the log that it held in its latest status.
+func (e *events) memberGone(db entity.Database, m *member) {
+	e.stateChanged("upstream_gone", logrus.Fields{
+		"database": db, "peer": m.name, "leaving": m.leavingSince != 0, "received": formatPosition(m.received),
+	})
 }
 
 func (e *events) paceBegan(db entity.Database, name entity.Upstream, reason string, limit int) {
@@ -312,12 +315,47 @@
 	e.stateChanged("takeover_began", logrus.Fields{"database": db, "reason": reason, "fence": fence})
 }
 
-func (e *events) takeoverStep(db entity.Database, d takeover.Decision, fence uint64) {
+func (e *events) takeoverStep(db entity.Database, v *takeover.View, d takeover.Decision, fence uint64) {
 	e.line("takeover_step").WithFields(logrus.Fields{
-		"database": db, "decision": d.Step, "target": d.Target, "reason": d.Reason, "term": d.Term, "fence": fence,
+		"database": db, "decision": d.Step, "target": d.Target, "reason": d.Reason, "term": d.Term, "fence": fence, "members": formatMembers(v.Members),
 	}).Info("takeover decided")
 }
 
+// formatMembers formats what the members reported to a takeover.
+func formatMembers(members []takeover.Member) string {
+	var b strings.Builder
+	for i := range members {
+		m := &members[i]
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(m.Name) + "=")
+		if !m.Reached {
+			b.WriteString("unanswered")
+		} else {
+			b.WriteString(formatPosition(m.Received))
+		}
+		if m.Primary {
+			b.WriteString("/primary")
+		}
+		if m.PauseTerm != 0 {
+			b.WriteString("/paused")
+		}
+		if m.Leaving {
+			b.WriteString("/leaving")
+		}
+	}
+	return b.String()
+}
+
+func formatPosition(p entity.Position) string { return fmt.Sprintf("%d.%d", p.Term, p.Offset) }
+
+// takeoverAnnounced logs that another proxy announced a takeover, and the newest commit that this
+// proxy had reported to a caller by then.
+func (e *events) takeoverAnnounced(db entity.Database, claim Revision, reported entity.Position) {
+	e.stateChanged("takeover_announced", logrus.Fields{"database": db, "claim": claim.Number, "reported": formatPosition(reported)})
+}
+
 // takeoverEnded logs the end of a takeover and the number of orders that may still take effect.
 func (e *events) takeoverEnded(db entity.Database, outcome string, fence uint64, open int) {
 	e.stateChanged("takeover_ended", logrus.Fields{"database": db, "outcome": outcome, "fence": fence, "open_orders": open})
@@ -341,7 +379,9 @@
 	if !e.admit(CodeNone) {
 		return
 	}
-	e.request("commit_confirmed").WithFields(commitFields(s, statement, db, c)).WithField("after_ms", after.Milliseconds()).Info("commit confirmed")
+	e.request("commit_confirmed").WithFields(commitFields(s, statement, db, c)).WithFields(logrus.Fields{
+		"after_ms": after.Milliseconds(), "holders": c.holders,
+	}).Info("commit confirmed")
 }
 
 // commitInDoubt logs an acknowledged commit that a promotion may have lost.
@@ -356,7 +396,7 @@
 
 func commitFields(s *session, statement *Statement, db entity.Database, c *commit) logrus.Fields {
 	return logrus.Fields{
-		"id": statement.ID, "route": s.databaseName, "group": db, "peer": c.primary.name, "position": fmt.Sprintf("%d.%d", c.position.Term, c.position.Offset), "took_ms": c.took.Milliseconds(),
+		"id": statement.ID, "route": s.databaseName, "group": db, "peer": c.primary.name, "position": formatPosition(c.position), "took_ms": c.took.Milliseconds(),
 	}
 }
 
--- a/internal/managed/member.go
+++ b/internal/managed/member.go
@@ -60,6 +60,8 @@
 	latency       time.Duration
 	// listedAt is a revision of the store at which the member was listed, zero if that is unknown.
 	listedAt Revision
+	// received is the end of the log that the member held in its latest status.
+	received entity.Position
 	// statusCall is the status call in progress that commits share, nil if there is none.
 	statusCall *statusCall
 	// pace is nil without the setting UpstreamPace.
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -233,7 +233,7 @@
 		m.idleConns = nil
 		delete(d.members, name)
 		d.membersChangedAt = at
-		d.proxy.events.memberGone(d.name, name)
+		d.proxy.events.memberGone(d.name, m)
 	}
 }
 
--- a/internal/managed/query.go
+++ b/internal/managed/query.go
@@ -79,6 +79,7 @@
 		return status, err
 	}
 	conn.member.clearFailures()
+	conn.member.received = status.Received
 	d.returnConn(conn)
 	return status, nil
 }
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -148,8 +148,9 @@
 		}
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
 		t.followPrimary(reports)
-		decision := t.progress.Next(now(), t.view(reports))
-		t.db.proxy.events.takeoverStep(t.db.name, decision, t.claim.fence())
+		view := t.view(reports)
+		decision := t.progress.Next(now(), view)
+		t.db.proxy.events.takeoverStep(t.db.name, &view, decision, t.claim.fence())
 		switch decision.Step {
 		case takeover.StepWait:
 			time.Sleep(takeoverPollInterval)
