--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -81,7 +81,7 @@
 	orders orderRecord
 	// reported is the newest commit whose caller this proxy has told of success.
 	reported entity.Position
-	monitor *monitor
+	monitor  *monitor
 	// primaryLatency is the latency of the last primary that was replaced, 0 if unknown.
 	primaryLatency time.Duration
 }
