A commit needs evidence after a takeover that its proxy did not see

Callers: a commit that only a replaced primary and a joined replica held was reported as a success. Cause: a proxy that is told only of the latest state of the record of orders (a follower of a watcher, or any proxy after a listing) saw no change of its targets, so that a whole takeover passed unnoticed. Its rule mirrored the product's. The new test fails without the change. Change: any newer record counts as a change of what is known of takeovers; the model follows.

--- a/core/takeover/orders_test.go
+++ b/core/takeover/orders_test.go
@@ -318,7 +318,7 @@
 	}
 	before := g.known
 	defer func() {
-		if g.known.claim != before.claim || !slices.Equal(g.known.record.targets, before.record.targets) {
+		if g.known.claim != before.claim || g.known.record.revision != before.record.revision {
 			g.changedAt = g.step
 		}
 	}()
--- a/internal/managed/orders.go
+++ b/internal/managed/orders.go
@@ -72,9 +72,8 @@
 	if !slices.Equal(known.Targets, record.Targets) {
 		d.proxy.events.ordersOpen(d.name, &record)
 	}
-	if len(known.Targets)+len(record.Targets) > 0 {
-		d.takeoverChangedAt = now()
-	}
+	// Several changes may arrive as one: a promotion may have begun and ended since the known record.
+	d.takeoverChangedAt = now()
 	d.orders = record
 	if len(record.Targets) > 0 {
 		d.monitor.schedulePauseCheck(openOrderCheckDelay)
--- a/internal/managed/orders_test.go
+++ b/internal/managed/orders_test.go
@@ -156,3 +156,19 @@
 	s := &session{proxy: d.proxy}
 	assert.Assert(t, !c.confirm(s, &Statement{}, d, now().Add(300*time.Millisecond)))
 }
+
+// Guards against a commit that is reported on the word of a replaced primary because its proxy was told
+// of the takeover only after its end.
+func TestCommitNeedsEvidenceAfterATakeoverThatWasNotSeen(t *testing.T) {
+	d := newDirectoryTest()
+	d.limits.SyncReplicas = 1
+	for _, name := range []entity.Upstream{"a", "b"} {
+		d.putMember(Member{Name: name, Slots: 5}, 0, Revision{2, 1})
+	}
+	d.setPrimary(d.members["a"], 1, "test")
+	d.applyOrders([]byte(`{"epoch":2,"claim":4,"targets":[],"concluded":true}`), Revision{2, 5}, false)
+	c := newCommit(d.members["a"], entity.Position{Term: 1, Offset: 7}, now())
+	d.applyOrders([]byte(`{"epoch":2,"claim":9,"targets":[],"concluded":true}`), Revision{2, 10}, false)
+	evidence := d.commitEvidence(&c)
+	assert.Assert(t, evidence.Replaced)
+}
