--- /dev/null
+++ b/internal/managed/departures_test.go
@@ -0,0 +1,95 @@
+package managed_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"skylarkhinge.dev/skylarkhinge/platform/standin"
+)
+
+const (
+	// receivingTime is how long only one replica receives commits before it ends.
+	receivingTime = 1500 * time.Millisecond
+	// cutTime is how long the primary stays cut from its replicas after that. lossCutTime is longer than
+	// a takeover waits for a replica that was lost without an announcement.
+	cutTime     = 7 * time.Second
+	lossCutTime = 18 * time.Second
+)
+
+// setOnlyReceiver cuts the primary from all replicas but one, or ends these cuts.
+func (f *fleet) setOnlyReceiver(primary, receiver *standin.Member, cut bool) {
+	for _, m := range f.group.Members() {
+		if m != primary && m != receiver {
+			primary.SetCutFrom(m, cut)
+		}
+	}
+}
+
+// end ends an upstream for good. Its entry is removed.
+func (f *fleet) end(m *standin.Member) {
+	m.Crash()
+	f.store.RemoveEntry(m.ID)
+}
+
+// departure is a primary that only one replica receives, which ends.
+type departure struct {
+	*ledger
+	primary, receiver *standin.Member
+	// proxies are those that run, inUse the upstreams that do in the end.
+	proxies []*node
+	inUse   []*standin.Member
+}
+
+// newDeparture replaces a replica that leaves, or will crash, and cuts the primary from the others.
+func newDeparture(l *ledger, announced bool) *departure {
+	d := &departure{ledger: l, primary: l.group.Primary(), proxies: slices.Clone(l.nodes)}
+	members := l.group.Members()
+	d.receiver = members[(slices.Index(members, d.primary)+1)%groupSize]
+	d.inUse = slices.DeleteFunc(members, func(m *standin.Member) bool { return m == d.receiver })
+	l.addReplacement(l.group.Member(groupSize))
+	time.Sleep(500 * time.Millisecond)
+	d.receiver.SetLeaving(announced)
+	time.Sleep(500 * time.Millisecond)
+	l.setOnlyReceiver(d.primary, d.receiver, true)
+	return d
+}
+
+// finish keeps the cuts for a while, ends them, and checks the writes.
+func (d *departure) finish(cut time.Duration) {
+	d.t.Helper()
+	time.Sleep(cut)
+	d.setOnlyReceiver(d.primary, d.receiver, false)
+	d.check(d.proxies, d.inUse...)
+}
+
+// Guards against commits that are confirmed because a replica holds them which ends.
+func TestCommitReceivedOnlyByALeavingReplicaIsNotLost(t *testing.T) {
+	play := func(name string, announced bool, cut time.Duration, prepare func(*ledger), disturb, ended func(*departure)) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newWritingFleet(t, 3)
+			prepare(l)
+			d := newDeparture(l, announced)
+			time.Sleep(receivingTime / 2)
+			disturb(d)
+			time.Sleep(receivingTime / 2)
+			d.end(d.receiver)
+			ended(d)
+			d.finish(cut)
+		})
+	}
+	nothing := func(*departure) {}
+	none := func(*ledger) {}
+	play("leaves", true, cutTime, none, nothing, nothing)
+	play("leaves, primary crashes", true, cutTime, none, nothing, func(d *departure) {
+		d.end(d.primary)
+		d.inUse = slices.DeleteFunc(d.inUse, func(m *standin.Member) bool { return m == d.primary })
+	})
+	play("leaves, proxy is killed", true, cutTime, none, func(d *departure) {
+		d.kill(d.proxies[0])
+		d.proxies = d.proxies[1:]
+	}, nothing)
+	play("leaves, proxy without store", true, cutTime, func(l *ledger) { l.store.RejectProxy(l.nodes[1].settings.VM) }, nothing, nothing)
+	play("crashes", false, lossCutTime, none, nothing, nothing)
+}
--- a/internal/managed/openorders_test.go
+++ b/internal/managed/openorders_test.go
@@ -117,9 +117,14 @@
 func newWritingFleet(t *testing.T, proxies int) *ledger {
 	f := newReplacementFleet(t, proxies, 1)
 	f.group.PromoteDelay = time.Second
+	return f.startLedger()
+}
+
+// startLedger makes writes at all proxies.
+func (f *fleet) startLedger() *ledger {
 	l := newLedger(f)
 	for _, n := range f.nodes {
-		n.open(t, strictDB).eventually(failoverLimit, "WRITE item v")
+		n.open(f.t, strictDB).eventually(failoverLimit, "WRITE item v")
 		l.write(n)
 	}
 	return l
--- a/internal/managed/soak_test.go
+++ b/internal/managed/soak_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"skylarkhinge.dev/skylarkhinge/config"
 	"skylarkhinge.dev/skylarkhinge/internal/cli"
 	"skylarkhinge.dev/skylarkhinge/internal/standin/process"
 	"skylarkhinge.dev/skylarkhinge/internal/standin/relay"
@@ -54,21 +55,21 @@
 	soakGrace = 2 * time.Second
 )
 
-func newSoak(t *testing.T, seed uint64) *soak {
+// newDaemons starts a fleet of daemons, with a number of upstreams that are not in use yet.
+func newDaemons(t *testing.T, seed uint64, proxies, replacements int) *soak {
 	dir, err := process.LinkSelf(daemonName)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = os.RemoveAll(dir) })
-	f := newFleet(t, 0)
+	f := newReplacementFleet(t, 0, replacements)
 	f.connections = scarceConnections
 	s := &soak{
 		faultTest: newFaultTest(f, seed), program: filepath.Join(dir, daemonName),
-		signals: rand.New(rand.NewPCG(seed, 2)), addresses: map[int][]string{}, daemons: make([]*process.Process, soakProxies),
+		signals: rand.New(rand.NewPCG(seed, 2)), addresses: map[int][]string{}, daemons: make([]*process.Process, proxies),
 	}
 	s.stopsProxies, s.startNode = true, s.startDaemon
 	f.configure()
 	f.varyConfiguration(seed)
-	for i := range 3 {
-		m := f.group.Member(i)
+	for _, m := range f.group.Members() {
 		r, err := relay.Start(relay.Options{Target: m.Address()})
 		assert.NilError(t, err)
 		t.Cleanup(r.Close)
@@ -76,7 +77,7 @@
 		m.SetServiceTime(5 * time.Millisecond)
 		s.relays = append(s.relays, r)
 	}
-	for i := range soakProxies {
+	for i := range proxies {
 		f.nodes = append(f.nodes, s.startDaemon(i))
 	}
 	s.stopAt = time.Now().Add(faultDuration)
@@ -103,7 +104,7 @@
 	assert.NilError(t, err)
 	file := filepath.Join(filepath.Dir(s.program), vm+".json")
 	assert.NilError(t, os.WriteFile(file, settings, 0o600))
-	n := &node{log: &logRecorder{}, address: a[0]}
+	n := &node{log: &logRecorder{}, address: a[0], settings: config.ManagedSettings{VM: vm}}
 	p, err := process.Start(s.program, os.Stderr, "managed", "--settings", file)
 	assert.NilError(t, err)
 	p.CopyOutput(n.log)
@@ -183,10 +184,21 @@
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			s := newSoak(t, seed)
+			s := newDaemons(t, seed, soakProxies, 0)
 			s.workers.Add(1)
 			go s.injectSignals()
 			s.run(seed)
 		})
 	}
 }
+
+// Guards against the same as TestCommitReceivedOnlyByALeavingReplicaIsNotLost, with daemons.
+func TestProcessesKeepCommitsOfALeavingReplica(t *testing.T) {
+	s := newDaemons(t, 1, 3, 1)
+	s.awaitConfiguration()
+	l := s.startLedger()
+	d := newDeparture(l, true)
+	time.Sleep(receivingTime)
+	d.end(d.receiver)
+	d.finish(cutTime)
+}
