A commit is reported once a replica that stays holds it

Callers lost commits that they had been told of: while a primary was cut from its replicas, one that was about to end as announced was the only one to receive its log. The primary acknowledges on the word of any one replica. Evidence: the decisions of a takeover show all replicas at 2.225 while gateways had reported up to 2.261, and two replicas that left as announced. Change: while a replica departs and another one stays, one that stays must be found to hold a commit before its caller is told.

--- a/core/takeover/evidence.go
+++ b/core/takeover/evidence.go
@@ -14,6 +14,9 @@
 	// Claimed is set while a takeover is open. The members with Listed set are counted when it chooses
 	// a successor.
 	Claimed bool
+	// Departing are the replicas that the primary may count but a takeover may not: they leave, or are
+	// not listed any more. It is empty if no other replica stays. Sorted.
+	Departing []entity.Upstream
 	// Uncertain is set if a takeover may be open that the proxy does not know of.
 	Uncertain bool
 	// Replaced is set if the primary that acknowledged the commit may not lead the same term any more.
@@ -24,13 +27,13 @@
 
 // Required reports whether the acknowledgement of the primary alone is not sufficient.
 func (e *Evidence) Required() bool {
-	return len(e.Ordered) > 0 || e.Claimed || e.Uncertain || e.Replaced
+	return len(e.Ordered) > 0 || e.Claimed || e.Uncertain || e.Replaced || len(e.Departing) > 0
 }
 
 // Equal reports whether the same members count as evidence.
 func (e *Evidence) Equal(other *Evidence) bool {
 	return slices.Equal(e.Ordered, other.Ordered) && e.Claimed == other.Claimed && e.Uncertain == other.Uncertain &&
-		e.Replaced == other.Replaced && e.Leader == other.Leader
+		slices.Equal(e.Departing, other.Departing) && e.Replaced == other.Replaced && e.Leader == other.Leader
 }
 
 // Holder is the state of one member as evidence for a commit.
@@ -52,23 +55,31 @@
 	return h.Reached && h.Received.Term == position.Term && !h.Received.Less(position)
 }
 
-// NeedsListed reports whether a member other than the primary that was listed before the takeover must
-// hold a commit: a successor may be chosen among them yet. The target of an open order suffices too.
-func (e *Evidence) NeedsListed(primary entity.Upstream) bool {
-	if !e.Claimed && !e.Uncertain {
+// NeedsCounted reports whether a member other than the primary that is counted when a successor is
+// chosen must hold a commit. The target of an open order suffices too, if it stays.
+func (e *Evidence) NeedsCounted(primary entity.Upstream) bool {
+	if !e.Claimed && !e.Uncertain && len(e.Departing) == 0 {
 		return false
 	}
 	if e.Replaced {
 		primary = e.Leader
 	}
-	return !slices.ContainsFunc(e.Ordered, func(target entity.Upstream) bool { return target != primary })
+	return !slices.ContainsFunc(e.Ordered, func(target entity.Upstream) bool { return target != primary && e.stays(target) })
 }
 
+// OneSuffices reports whether any one of the members that stay may be asked: no takeover is known, and
+// the primary has not changed.
+func (e *Evidence) OneSuffices() bool {
+	return len(e.Departing) > 0 && len(e.Ordered) == 0 && !e.Claimed && !e.Uncertain && !e.Replaced
+}
+
+func (e *Evidence) stays(name entity.Upstream) bool { return !slices.Contains(e.Departing, name) }
+
 // Holds reports whether a promotion keeps a commit that the primary acknowledged at the given
 // position: every target of an open order holds it, and a member that is counted when a successor is
 // chosen.
 func (e *Evidence) Holds(primary entity.Upstream, position entity.Position, members []Holder) bool {
-	needsListed := e.NeedsListed(primary)
+	needsCounted := e.NeedsCounted(primary)
 	if e.Replaced {
 		leads := slices.ContainsFunc(members, func(h Holder) bool { return h.Name == e.Leader && h.Primary && h.holds(position) })
 		if !leads {
@@ -82,8 +93,8 @@
 			return false
 		}
 	}
-	return !needsListed || slices.ContainsFunc(members, func(h Holder) bool {
-		return h.Name != primary && h.Listed && h.holds(position)
+	return !needsCounted || slices.ContainsFunc(members, func(h Holder) bool {
+		return h.Name != primary && h.Listed && e.stays(h.Name) && h.holds(position)
 	})
 }
 
--- a/core/takeover/evidence_test.go
+++ b/core/takeover/evidence_test.go
@@ -21,6 +21,10 @@
 		return h
 	}
 	ordered := func(names ...entity.Upstream) Evidence { return Evidence{Ordered: names} }
+	departing := func(e Evidence) Evidence {
+		e.Departing = []entity.Upstream{"b"}
+		return e
+	}
 	for _, c := range []struct {
 		name     string
 		evidence Evidence
@@ -45,6 +49,14 @@
 		{"the next primary holds it", Evidence{Replaced: true, Leader: "b"}, []Holder{leader("b", pos(1, 10))}, true},
 		{"the one that is taken for the next primary does not lead", Evidence{Replaced: true, Leader: "b"},
 			[]Holder{holder("b", pos(1, 10), true)}, false},
+		{"only a replica that leaves holds it", departing(Evidence{}), []Holder{holder("b", pos(1, 10), true), holder("c", pos(1, 9), true)}, false},
+		{"a replica that stays holds it", departing(Evidence{}), []Holder{holder("c", pos(1, 10), true)}, true},
+		{"the replica that leaves was listed before the claim", departing(Evidence{Claimed: true}), []Holder{holder("b", pos(1, 10), true)}, false},
+		{"the target leaves", departing(ordered("b")), []Holder{holder("b", pos(1, 10), true)}, false},
+		{"the target leaves and another one holds it as well", departing(ordered("b")),
+			[]Holder{holder("b", pos(1, 10), true), holder("c", pos(1, 10), true)}, true},
+		{"the next primary and only a replica that leaves hold it", departing(Evidence{Replaced: true, Leader: "c"}),
+			[]Holder{leader("c", pos(1, 10)), holder("b", pos(1, 10), true)}, false},
 		{"a takeover began after the next primary", Evidence{Replaced: true, Leader: "b", Claimed: true}, []Holder{leader("b", pos(1, 10))}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/takeover/orders_test.go
+++ b/core/takeover/orders_test.go
@@ -369,7 +369,7 @@
 		c.evidence = &e
 		for i, m := range g.members {
 			h := Holder{Name: upstream(i), Listed: claim == 0 || m.listedAt < claim}
-			counts := slices.Contains(e.Ordered, h.Name) || e.Replaced && h.Name == e.Leader || e.NeedsListed(primary) && h.Listed
+			counts := slices.Contains(e.Ordered, h.Name) || e.Replaced && h.Name == e.Leader || e.NeedsCounted(primary) && h.Listed
 			if counts && g.known.listed[i] && (i != c.primary || e.Replaced) {
 				c.counted[i] = h
 			}
--- a/core/takeover/progress.go
+++ b/core/takeover/progress.go
@@ -1,6 +1,7 @@
 package takeover
 
 import (
+	"slices"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -12,7 +13,7 @@
 
 // Takeover is what one takeover remembers between its steps.
 type Takeover struct {
-	// stalled is set once the leader is known to answer but to replicate nothing.
+	// stalled is set while the leader is known to answer but to replicate nothing to those that stay.
 	stalled bool
 	// required is the end of the leader's log that the successor must hold. keepRequired is set
 	// while it need not be taken from the latest report.
@@ -25,8 +26,9 @@
 	sawReceiver bool
 	// quiesced is set once all replicas were paused, after at least one had received the log.
 	quiesced bool
-	// furthest is the most advanced log of the replicas that are not paused, advancedAt when it
-	// last grew.
+	// received are the logs of the replicas that stay and are not paused, furthest is the most advanced
+	// one, advancedAt when it last grew.
+	received   map[entity.Upstream]entity.Position
 	furthest   entity.Position
 	advancedAt entity.Time
 }
@@ -86,19 +88,26 @@
 func (t *Takeover) observeLeader(at entity.Time, v *View) {
 	var leader *Member
 	var furthest entity.Position
-	receives := false
+	receives, stays := false, anyStays(v)
+	received := map[entity.Upstream]entity.Position{}
 	for i := range v.Members {
 		m := &v.Members[i]
 		switch {
 		case m.Name == v.Leader:
 			leader = m
-		case m.Reached && m.PauseTerm == 0:
+		case m.Reached && m.PauseTerm == 0 && !(stays && m.Leaving):
 			receives = true
+			received[m.Name] = m.Received
+			if before, ok := t.received[m.Name]; ok && before.Less(m.Received) {
+				// The primary replicates again, if it had stopped.
+				t.stalled = false
+			}
 			if furthest.Less(m.Received) {
 				furthest = m.Received
 			}
 		}
 	}
+	t.received = received
 	if leader == nil {
 		return
 	}
@@ -111,3 +120,8 @@
 	}
 	t.stalled = t.stalled || v.Synchronous && at.Sub(t.advancedAt) >= stallWindow
 }
+
+// anyStays reports whether a replica does not leave.
+func anyStays(v *View) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.Name != v.Leader && !m.Leaving })
+}
--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -89,7 +89,7 @@
 		return
 	}
 	if d.announced != claim {
-		d.proxy.events.takeoverAnnounced(d.name, claim, d.reported)
+		d.proxy.events.takeoverAnnounced(d.name, claim, d.reported.position)
 	}
 	d.announced, d.announcedUntil = claim, now().Add(announcementTTL)
 }
--- a/internal/managed/commit.go
+++ b/internal/managed/commit.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -19,6 +20,9 @@
 	// holderPollInterval is the interval between the status calls that look for the holders of a
 	// commit.
 	holderPollInterval = 20 * time.Millisecond
+	// nextHolderDelay is the time after which more members are asked if the nearest one does not hold
+	// a commit. It covers a round trip between regions.
+	nextHolderDelay = 50 * time.Millisecond
 )
 
 // commit is a commit that its primary has acknowledged.
@@ -28,6 +32,8 @@
 	// sent is when the statement was sent, took the time from then to the acknowledgement.
 	sent entity.Time
 	took time.Duration
+	// suspected is set once the primary is checked because the commit waits.
+	suspected bool
 	// holders are the upstreams that were found to hold the commit, if the primary's word did not suffice.
 	holders []entity.Upstream
 }
@@ -37,19 +43,21 @@
 	return commit{primary: primary, position: position, sent: sent, took: now().Sub(sent)}
 }
 
-// confirm reports whether a commit may be reported to its caller: no promotion that is under way
-// will lose it. It waits for that until the deadline. See docs/design/open-orders.md.
+// confirm reports whether a commit may be reported to its caller: no promotion that is under way, or that
+// follows, will lose it. It waits for that until the deadline. See docs/design/open-orders.md.
 func (c *commit) confirm(s *session, statement *Statement, d *database, deadline entity.Time) bool {
 	began := now()
 	for {
-		evidence := d.commitEvidence(c)
-		if !evidence.Required() {
-			d.recordReported(c.position)
+		evidence, reported := d.tryReport(c, nil, nil)
+		if reported && !evidence.Required() {
 			return true
 		}
-		switch c.awaitHolders(d, &evidence, deadline) {
+		verdict := commitHeld
+		if !reported {
+			verdict = c.awaitHolders(d, &evidence, deadline)
+		}
+		switch verdict {
 		case commitHeld:
-			d.recordReported(c.position)
 			s.proxy.events.commitConfirmed(s, statement, d.name, c, now().Sub(began))
 			return true
 		case commitMayBeLost:
@@ -59,15 +67,6 @@
 	}
 }
 
-// recordReported records the position of a commit that is about to be reported to its caller.
-func (d *database) recordReported(position entity.Position) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.reported.Less(position) {
-		d.reported = position
-	}
-}
-
 // commitVerdict is what is known of a commit.
 type commitVerdict int
 
@@ -80,16 +79,49 @@
 	evidenceChanged
 )
 
-// commitEvidence returns what is known of takeovers.
-func (d *database) commitEvidence(c *commit) takeover.Evidence {
+// reportedCommit is the newest commit that a proxy has reported to a caller, zero if there is none, with
+// the time at which it was sent. Its log position covers all commits that any proxy was told of before
+// it was sent.
+type reportedCommit struct {
+	position entity.Position
+	sent     entity.Time
+}
+
+// newer returns the newer one of two commits.
+func (c reportedCommit) newer(other reportedCommit) reportedCommit {
+	if c.position.Less(other.position) {
+		return other
+	}
+	return c
+}
+
+// tryReport returns what evidence a commit needs now, and whether the answers of the members suffice.
+// Then the commit counts as reported, before anybody else hears of a takeover from this proxy. The
+// answers are those that the expected evidence asked for, nil if there are none.
+func (d *database) tryReport(c *commit, expected *takeover.Evidence, answers []takeover.Holder) (evidence takeover.Evidence, reported bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	evidence = d.commitEvidence(c)
+	if expected != nil && !evidence.Equal(expected) {
+		return evidence, false
+	}
+	if evidence.Required() && !evidence.Holds(c.primary.name, c.position, answers) {
+		return evidence, false
+	}
+	if d.limits.SyncReplicas > 0 {
+		d.reported = d.reported.newer(reportedCommit{c.position, c.sent})
+	}
+	return evidence, true
+}
+
+// commitEvidence returns what is known of takeovers and departures. The mutex is held.
+func (d *database) commitEvidence(c *commit) takeover.Evidence {
 	if d.limits.SyncReplicas == 0 {
 		return takeover.Evidence{}
 	}
 	evidence := takeover.Evidence{
-		Ordered: d.orders.Targets, Claimed: d.openClaim() != Revision{},
-		Uncertain: d.proxy.storeUncertain() || c.took >= slowCommit,
+		Ordered: d.orders.Targets, Claimed: d.openClaim() != Revision{}, Departing: d.departing(c.primary, now()),
+		Uncertain: d.proxy.storeUncertain() || c.took >= slowCommit || !d.inUseAsGateway(),
 		// A takeover that ended since then may have replaced the primary, which this proxy may not know
 		// yet.
 		Replaced: d.primary != c.primary || d.primaryTerm != c.position.Term || d.takeoverChangedAt >= c.sent,
@@ -130,15 +162,16 @@
 
 // awaitHolders queries the members that count as evidence until they hold the commit.
 func (c *commit) awaitHolders(d *database, evidence *takeover.Evidence, deadline entity.Time) commitVerdict {
-	if evidence.Holds(c.primary.name, c.position, nil) {
-		return commitHeld
-	}
 	members, listed := d.possibleHolders(c, evidence)
 	ended := make(chan struct{})
 	defer close(ended)
 	answers := make(chan takeover.Holder)
 	for i, m := range members {
-		go d.monitor.pollHolder(m, listed[i], answers, ended)
+		delay := time.Duration(0)
+		if i > 0 && evidence.OneSuffices() {
+			delay = nextHolderDelay
+		}
+		go d.monitor.pollHolder(m, listed[i], delay, answers, ended)
 	}
 	ticker := time.NewTicker(holderPollInterval)
 	defer ticker.Stop()
@@ -149,54 +182,70 @@
 			answered[h.Name] = h
 		case <-ticker.C:
 		}
-		// The answers are judged by what is known after them.
-		if latest := d.commitEvidence(c); !latest.Equal(evidence) {
-			return evidenceChanged
-		}
 		holders := slices.Collect(maps.Values(answered))
-		if evidence.Holds(c.primary.name, c.position, holders) {
+		// The answers are judged by what is known after them.
+		latest, reported := d.tryReport(c, evidence, holders)
+		if reported {
 			c.holders = takeover.HoldersOf(c.position, holders)
 			return commitHeld
 		}
+		if !latest.Equal(evidence) {
+			return evidenceChanged
+		}
 		if len(members) > 0 && len(holders) == len(members) && takeover.Superseded(c.position, holders) {
 			return commitMayBeLost
 		}
+		if !c.suspected && evidence.OneSuffices() && now().Sub(c.sent) >= slowCommit {
+			// Only replicas that leave may receive what the primary writes.
+			c.suspected = true
+			d.monitor.suspectPrimary()
+		}
 	}
 	return commitMayBeLost
 }
 
-// pollHolder sends the status of a member again and again until ended is closed.
-func (mon *monitor) pollHolder(m *member, listed bool, answers chan<- takeover.Holder, ended <-chan struct{}) {
+// pollHolder sends the status of a member again and again, after a delay, until ended is closed.
+func (mon *monitor) pollHolder(m *member, listed bool, delay time.Duration, answers chan<- takeover.Holder, ended <-chan struct{}) {
 	for {
-		h := mon.sharedStatus(m)
-		h.Listed = listed
 		select {
-		case answers <- h:
+		case <-time.After(delay):
 		case <-ended:
 			return
 		}
+		h := mon.sharedStatus(m)
+		h.Listed = listed
 		select {
-		case <-time.After(holderPollInterval):
+		case answers <- h:
 		case <-ended:
 			return
 		}
+		delay = holderPollInterval
 	}
 }
 
-// possibleHolders returns the members whose logs count as evidence, and whether each was listed
-// before the open claim.
+// possibleHolders returns the members whose logs count as evidence, the nearest first, and whether each
+// was listed before the open claim.
 func (d *database) possibleHolders(c *commit, evidence *takeover.Evidence) (members []*member, listed []bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	claim := d.openClaim()
+	before := func(m *member) bool {
+		return claim == Revision{} || m.listedAt.Epoch == claim.Epoch && m.listedAt.Number < claim.Number
+	}
 	for _, m := range d.members {
-		before := claim == Revision{} || m.listedAt.Epoch == claim.Epoch && m.listedAt.Number < claim.Number
 		counts := slices.Contains(evidence.Ordered, m.name) || evidence.Replaced && m.name == evidence.Leader ||
-			evidence.NeedsListed(c.primary.name) && before && m.missingSince == 0
+			evidence.NeedsCounted(c.primary.name) && before(m) && !(evidence.Claimed && m.missingSince != 0) &&
+				!slices.Contains(evidence.Departing, m.name)
 		if counts && (m != c.primary || evidence.Replaced) {
-			members, listed = append(members, m), append(listed, before)
+			members = append(members, m)
 		}
 	}
+	slices.SortFunc(members, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.failures, b.failures), cmp.Compare(a.distance, b.distance), cmp.Compare(a.name, b.name))
+	})
+	for _, m := range members {
+		listed = append(listed, before(m))
+	}
 	return members, listed
 }
 
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,12 +31,17 @@
 	// proxy is one of them.
 	gateways  []gateway.Proxy
 	isGateway bool
+	// gatewayLostAt is when a proxy last ceased to be a gateway, 0 if none did.
+	gatewayLostAt entity.Time
 	// memberAddedAt is when a member was last added while the group had at most groupSize
 	// members. membersChangedAt is when the set of members last changed.
 	memberAddedAt, membersChangedAt entity.Time
 	// lostReplicas are the replicas that were removed without having announced their shutdown and
 	// have not returned, with the time of their removal.
 	lostReplicas map[entity.Upstream]entity.Time
+	// departedAt is when a replica was last found to have ended, as announced or not, or to have
+	// restarted, 0 if none was.
+	departedAt entity.Time
 	// lastStatementAt is when this proxy last queued a statement for the upstreams itself.
 	lastStatementAt entity.Time
 	// sharingProxies is the number of proxies that share the upstreams' connections,
@@ -79,9 +85,11 @@
 	ownClaim *claim
 	// orders are the open orders of promotions seen in the store.
 	orders orderRecord
-	// reported is the newest commit whose caller this proxy has told of success.
-	reported entity.Position
-	monitor  *monitor
+	// reported is the newest commit whose caller this proxy has told of success, as recorded since
+	// recordedSince.
+	reported      reportedCommit
+	recordedSince entity.Time
+	monitor       *monitor
 	// primaryLatency is the latency of the last primary that was replaced, 0 if unknown.
 	primaryLatency time.Duration
 }
@@ -130,6 +138,7 @@
 		waiting:         map[entity.Handle]*waiter{},
 		lostReplicas:    map[entity.Upstream]entity.Time{},
 		connectionShare: 1,
+		recordedSince:   now(),
 	}
 	d.timer = time.AfterFunc(time.Hour, d.expireWaiting)
 	d.monitor = newMonitor(d)
@@ -428,6 +437,11 @@
 // applyAssignment sets the connection share and the scheduler's slots. The mutex is held.
 func (d *database) applyAssignment(u gatewayAssignment) {
 	becomesGateway := u.isGateway && !d.isGateway
+	for _, g := range d.gateways {
+		if !slices.ContainsFunc(u.gateways, func(other gateway.Proxy) bool { return other.VM == g.VM }) {
+			d.gatewayLostAt = now()
+		}
+	}
 	d.gateways, d.isGateway = u.gateways, u.isGateway
 	d.sharingProxies, d.sharingInZone = max(1, u.sharingProxies), max(1, u.sharingInZone)
 	d.connectionShare = max(1, d.usableConnections()/d.sharingProxies)
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -103,6 +103,10 @@
 			d.dropConnLocked(conn)
 		}
 		m.idleConns = m.idleConns[:0]
+		if m != d.primary {
+			// The process may have started without the log of the one before.
+			d.departedAt = at
+		}
 		m.pace.begin(paceRestarted)
 		m.clearFailures()
 	}
@@ -110,16 +114,8 @@
 	if newlyPrimary {
 		m.deniedPrimary = false
 	}
-	if entry.Leaving && m.leavingSince == 0 {
-		m.leavingSince = at
-		for _, conn := range m.idleConns {
-			if m != d.primary {
-				d.dropConnLocked(conn)
-			}
-		}
-		if m != d.primary {
-			m.idleConns = m.idleConns[:0]
-		}
+	if entry.Leaving {
+		d.setLeaving(m, at)
 	}
 	if !entry.Leaving && entry.Incarnation != m.entry.Incarnation {
 		// A process that leaves does so until its end.
@@ -144,6 +140,21 @@
 	d.armTimer(at)
 }
 
+// setLeaving records that a member has announced its shutdown. The mutex is held.
+func (d *database) setLeaving(m *member, at entity.Time) {
+	if m.leavingSince != 0 {
+		return
+	}
+	m.leavingSince = at
+	if m == d.primary {
+		return
+	}
+	for _, conn := range m.idleConns {
+		d.dropConnLocked(conn)
+	}
+	m.idleConns = m.idleConns[:0]
+}
+
 // removeMember records that a member's entry was removed. The member stays in use for
 // missingGrace, because entries also expire when the store is unavailable.
 func (d *database) removeMember(name entity.Upstream) {
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -390,7 +390,7 @@
 		return
 	}
 	e.request("commit_in_doubt").WithFields(commitFields(s, statement, db, c)).WithFields(logrus.Fields{
-		"targets": evidence.Ordered, "claimed": evidence.Claimed, "uncertain": evidence.Uncertain,
+		"targets": evidence.Ordered, "claimed": evidence.Claimed, "departing": evidence.Departing, "uncertain": evidence.Uncertain,
 	}).Info("commit may be lost")
 }
 
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -199,12 +198,16 @@
 // it knows the other proxies, it takes itself for a gateway of each database. The mutex is
 // held.
 func (d *database) inUse(at entity.Time) bool {
-	if d.isGateway && d.proxy.fleetKnown.Load() {
+	if d.inUseAsGateway() {
 		return true
 	}
 	return d.lastStatementAt != 0 && at.Sub(d.lastStatementAt) <= localUseWindow
 }
 
+// inUseAsGateway reports whether this proxy is known to be a gateway of the database, so that the holder
+// of a takeover asks it. The mutex is held.
+func (d *database) inUseAsGateway() bool { return d.isGateway && d.proxy.fleetKnown.Load() }
+
 // settled reports whether nothing is left to be done for a database that is not in use: no
 // connection is open and no member's entry is missing. The mutex is held.
 func (d *database) settled() bool {
@@ -216,47 +219,6 @@
 	return true
 }
 
-// removeExpiredMembers removes members whose entries have been missing for missingGrace.
-// The mutex is held.
-func (d *database) removeExpiredMembers(at entity.Time) {
-	for name, m := range d.members {
-		if m.missingSince == 0 || at.Sub(m.missingSince) < missingGrace {
-			continue
-		}
-		m.removed = true
-		if m != d.primary && !m.entry.Primary && m.leavingSince == 0 {
-			d.recordLostReplica(at, name)
-		}
-		for _, conn := range m.idleConns {
-			d.dropConnLocked(conn)
-		}
-		m.idleConns = nil
-		delete(d.members, name)
-		d.membersChangedAt = at
-		d.proxy.events.memberGone(d.name, m)
-	}
-}
-
-// lossMemory is how long a lost replica is remembered, longer than any takeover waits for it.
-const lossMemory = time.Minute
-
-// recordLostReplica records that a replica was removed that had not announced its shutdown. The
-// mutex is held.
-func (d *database) recordLostReplica(at entity.Time, name entity.Upstream) {
-	maps.DeleteFunc(d.lostReplicas, func(_ entity.Upstream, lost entity.Time) bool { return at.Sub(lost) > lossMemory })
-	d.lostReplicas[name] = at
-}
-
-// lastReplicaLoss returns when a replica that has not returned was last removed, 0 if none was.
-// The mutex is held.
-func (d *database) lastReplicaLoss() entity.Time {
-	last := entity.Time(0)
-	for _, at := range d.lostReplicas {
-		last = max(last, at)
-	}
-	return last
-}
-
 // takeoverDelay returns a random delay before the next attempt. It spreads the attempts of
 // the proxies, so that one acquires the claim before the others try.
 func takeoverDelay() time.Duration {
--- a/internal/managed/primary.go
+++ b/internal/managed/primary.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"slices"
 	"time"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
@@ -161,14 +162,25 @@
 	return d.limits.SyncReplicas > 0
 }
 
-// replicationStalled reports whether the replicas, whose first reports are given, are behind the
-// primary and receive nothing within stallWindow.
+// replicationStalled reports whether the replicas that stay, whose first reports are given, are behind
+// the primary and receive nothing within stallWindow. If none stays, those that leave count.
 func (mon *monitor) replicationStalled(primary *member, primaryStatus Status, reports []statusReport) bool {
-	before, ok := furthestReceived(reports)
+	before, ok := furthestReceived(mon.staying(reports))
 	if !ok || !before.Less(primaryStatus.Received) {
 		return false
 	}
 	time.Sleep(stallWindow)
-	after, ok := furthestReceived(mon.queryMembers(Command{Kind: CommandStatus}, mon.allExcept(primary)))
+	after, ok := furthestReceived(mon.staying(mon.queryMembers(Command{Kind: CommandStatus}, mon.allExcept(primary))))
 	return ok && after == before
 }
+
+// staying returns the reports of the members that do not leave, all if there are none.
+func (mon *monitor) staying(reports []statusReport) []statusReport {
+	mon.db.mu.Lock()
+	defer mon.db.mu.Unlock()
+	stay := slices.DeleteFunc(slices.Clone(reports), func(r statusReport) bool { return r.member.leavingSince != 0 })
+	if len(stay) == 0 {
+		return reports
+	}
+	return stay
+}
