A successor holds the commits that callers were told of

Callers lost commits when a primary that answered, and held them all, was replaced as "does not replicate" by a replica that lacked them: the only one that had received them had left, crashed for good, or was counted by a proxy without the store. Change: gateways keep the newest commit that they reported and answer the announcement of a takeover with it. A replica that stays and holds it is preferred; while the primary answers this proxy or another one, none that lacks it is promoted; if it is not certain and a replica has ended, the holder waits for one that holds what the primary holds. A replica that leaves is not waited for if it is not needed. Waits are logged once.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -17,8 +17,9 @@
 //     hold a commit.
 //   - If no replica that stays receives the log of a healthy primary, because the successor
 //     was lost after the others were paused, their pauses are lifted first.
-//   - A primary that answers but sends its replicas nothing acknowledges nothing, so that it
-//     is replaced as if it were lost.
+//   - A primary that answers but sends those replicas that stay nothing is replaced as if it were
+//     lost. A replica that ends may have received commits from it, so it is replaced only by one that
+//     holds all commits that were reported to callers.
 //   - A replica that does not answer or is not listed may be the only holder of a
 //     commit. No replica is promoted until every listed replica answers and any
 //     unlisted one has been missing for maxIncompleteWait.
@@ -74,12 +75,24 @@
 	// LeaderHealthy is set if the leader answers as the primary and still replicates,
 	// LeaderStalled if it answers but replicates nothing.
 	LeaderHealthy, LeaderStalled bool
+	// LeaderAnswers is set if the leader answers this proxy or another one as the primary, whether it
+	// replicates or not. LeaderReceived is the end of its log, zero if unknown.
+	LeaderAnswers  bool
+	LeaderReceived entity.Position
 	// KeepLeader is set if the leader is to be replaced only by the target of an open order.
 	KeepLeader bool
 	// Required is a position that covers the commits that only a lost replica held: the end of
 	// the healthy leader's log in a report that came after the last change of the members and of
 	// their pauses, else the most advanced log that this takeover has seen at a replica.
 	Required entity.Position
+	// Reported is the newest commit known to have been reported to a caller. ReportsComplete is set if
+	// all gateways told theirs, and know which members leave. BehindFor is the time for which the leader
+	// has been lost and all replicas have lacked Reported.
+	Reported        entity.Position
+	ReportsComplete bool
+	BehindFor       time.Duration
+	// Departed is set if a replica that may have received commits ended recently, as announced or not.
+	Departed bool
 	// Members are all upstreams that are listed or were until recently.
 	Members []Member
 	// Synchronous is set if the leader acknowledges no commit that no replica holds.
@@ -159,6 +172,10 @@
 			return Decision{Step: StepResume, Members: paused, Reason: "no replica that stays receives the log"}
 		}
 	}
+	if !v.LeaderHealthy && slices.ContainsFunc(replicas, v.suffices) {
+		// What only those that leave hold is in doubt.
+		replicas = slices.DeleteFunc(replicas, func(m *Member) bool { return m.Leaving && !m.Reached })
+	}
 	if target := orderedSuccessor(&v, replicas); target != nil {
 		// Its order may take effect at any time, so there is nothing to wait for.
 		replicas = slices.DeleteFunc(replicas, func(m *Member) bool { return !m.Reached })
@@ -181,7 +198,26 @@
 	if known := len(replicas); known < v.Expected-1 && v.IncompleteFor < maxIncompleteWait {
 		return Decision{Step: StepWait, Reason: fmt.Sprintf("only %d of %d replicas are known", known, v.Expected-1)}, true
 	}
-	if !v.LeaderHealthy && v.ReplicaLost && v.LostFor < maxIncompleteWait && mayLackCommits(v, replicas) {
+	if v.LeaderHealthy {
+		return Decision{}, false
+	}
+	return decideWaitForCommits(v, replicas)
+}
+
+// decideWaitForCommits waits for the members that hold commits which all replicas that answer lack. A
+// primary that answers holds all commits, so it is not given up for replicas that lack some.
+func decideWaitForCommits(v *View, replicas []*Member) (Decision, bool) {
+	behind := v.Behind()
+	switch {
+	case behind && v.LeaderAnswers:
+		return Decision{Step: StepWait, Reason: "only the primary holds all reported commits"}, true
+	case behind && v.BehindFor < maxIncompleteWait:
+		return Decision{Step: StepWait, Reason: "reported commits are missing"}, true
+	case v.LeaderAnswers && v.ReportsComplete:
+		return Decision{}, false
+	case v.LeaderAnswers && v.Departed && (v.LeaderReceived.IsZero() || !anyReceived(replicas, v.LeaderReceived)):
+		return Decision{Step: StepWait, Reason: "only the primary may hold the commits of a replica that has ended"}, true
+	case v.ReplicaLost && v.LostFor < maxIncompleteWait && mayLackCommits(v, replicas):
 		return Decision{Step: StepWait, Reason: "a lost replica may hold more"}, true
 	}
 	return Decision{}, false
@@ -374,8 +410,12 @@
 }
 
 // betterForFailover reports whether a is preferable to b as the successor of a lost
-// primary: by log position, then as the target of an open order, then by staying over leaving.
+// primary: by staying with all reported commits, by log position, then as the target of an open order,
+// then by staying over leaving.
 func betterForFailover(v *View, a, b *Member) bool {
+	if v.suffices(a) != v.suffices(b) {
+		return v.suffices(a)
+	}
 	if a.Received != b.Received {
 		return b.Received.Less(a.Received)
 	}
@@ -387,3 +427,16 @@
 	}
 	return a.Name < b.Name
 }
+
+// suffices reports whether a member stays and holds all commits that were reported to callers. What
+// others hold beyond that is in doubt.
+func (v *View) suffices(m *Member) bool {
+	return v.ReportsComplete && m.Reached && !m.Leaving && !m.Received.Less(v.Reported)
+}
+
+// Behind reports whether no replica is known to hold all commits that were reported to callers.
+func (v *View) Behind() bool { return !anyReceived(replicasOf(v), v.Reported) }
+
+func anyReceived(replicas []*Member, position entity.Position) bool {
+	return slices.ContainsFunc(replicas, func(m *Member) bool { return !m.Received.Less(position) })
+}
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -189,3 +189,52 @@
 		}
 	})
 }
+
+// Guards against a successor without commits that callers were told of, and against waits for commits
+// that they were not told of.
+func TestSuccessorHoldsReportedCommits(t *testing.T) {
+	leaving := replica("a", 20, 2)
+	leaving.Leaving = true
+	ended := Member{Name: "a", Leaving: true}
+	stalled := func(reported uint64, complete bool, members ...Member) View {
+		v := lost(members...)
+		v.Members[0] = Member{Name: "p", Reached: true, Primary: true, Term: 1, Received: pos(1, 30)}
+		v.LeaderStalled, v.LeaderAnswers, v.LeaderReceived = true, true, pos(1, 30)
+		v.Reported, v.ReportsComplete = pos(1, reported), complete
+		return v
+	}
+	primaryLost := func(reported uint64, complete bool, behind time.Duration, members ...Member) View {
+		v := lost(members...)
+		v.Reported, v.ReportsComplete, v.BehindFor = pos(1, reported), complete, behind
+		return v
+	}
+	departed := func(v View) View {
+		v.Departed = true
+		return v
+	}
+	promote := func(name entity.Upstream) Decision {
+		return Decision{Step: StepPromote, Target: name, Reason: "primary is lost"}
+	}
+	wait := func(reason string) Decision { return Decision{Step: StepWait, Reason: reason} }
+	b, c := replica("b", 10, 2), replica("c", 12, 2)
+	for _, test := range []struct {
+		name string
+		view View
+		want Decision
+	}{
+		{"a replica that stays holds all reported commits", stalled(12, true, leaving, b, c), promote("c")},
+		{"it is not known whether it does", stalled(12, false, leaving, b, c), promote("a")},
+		{"only the one that leaves does", stalled(13, true, leaving, b, c), promote("a")},
+		{"the one that leaves does not answer and is not needed", stalled(12, true, ended, b, c), promote("c")},
+		{"the one that leaves does not answer and may be needed", stalled(12, false, ended, b, c), wait("replica a does not answer")},
+		{"only the primary does, and answers", stalled(13, true, b, c), wait("only the primary holds all reported commits")},
+		{"the primary may hold more, and answers", departed(stalled(12, false, b, c)), wait("only the primary may hold the commits of a replica that has ended")},
+		{"the primary holds more, which nobody was told of", departed(stalled(12, true, b, c)), promote("c")},
+		{"the primary may hold more, but all replicas are there", stalled(12, false, b, c), promote("c")},
+		{"only the lost primary does", primaryLost(13, true, 0, b, c), wait("reported commits are missing")},
+		{"the lost primary does not return", primaryLost(13, true, maxIncompleteWait, b, c), promote("c")},
+		{"the primary is lost, one that stays holds all", primaryLost(12, true, 0, leaving, b, c), promote("c")},
+	} {
+		t.Run(test.name, func(t *testing.T) { assert.DeepEqual(t, Decide(test.view), test.want) })
+	}
+}
--- a/internal/managed/api.go
+++ b/internal/managed/api.go
@@ -456,7 +456,7 @@
 	// ErrCompacted if that proxy no longer has the changes.
 	Changes(ctx context.Context, address string, poll Poll) (PeerChanges, error)
 	// Announce tells the proxy with the given address of a takeover.
-	Announce(ctx context.Context, address string, a Announcement) error
+	Announce(ctx context.Context, address string, a Announcement) (AnnouncementReply, error)
 }
 
 // Errors returned by Promoter.
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -89,7 +89,10 @@
 	// recordedSince.
 	reported      reportedCommit
 	recordedSince entity.Time
-	monitor       *monitor
+	// behindSince is when a takeover first found that the primary is lost and all replicas lack a
+	// reported commit, 0 if none does.
+	behindSince entity.Time
+	monitor     *monitor
 	// primaryLatency is the latency of the last primary that was replaced, 0 if unknown.
 	primaryLatency time.Duration
 }
--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -12,8 +12,17 @@
 	// lossMemory is how long it is remembered that a replica has ended, longer than a takeover without a primary
 	// waits for it.
 	lossMemory = time.Minute
+	// unknownDepartures is how long after its start a proxy assumes that replicas have ended which it
+	// does not know.
+	unknownDepartures = 12 * time.Second
 )
 
+// replicaDeparted reports whether a replica may have ended or restarted recently. The mutex is held.
+func (d *database) replicaDeparted(at entity.Time) bool {
+	// This proxy does not know what happened before it started.
+	return at.Sub(d.recordedSince) < unknownDepartures || d.departedAt != 0 && at.Sub(d.departedAt) <= lossMemory
+}
+
 // removeExpiredMembers removes members whose entries have been missing for missingGrace.
 // The mutex is held.
 func (d *database) removeExpiredMembers(at entity.Time) {
--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -318,6 +318,7 @@
 func (e *events) takeoverStep(db entity.Database, v *takeover.View, d takeover.Decision, fence uint64) {
 	e.line("takeover_step").WithFields(logrus.Fields{
 		"database": db, "decision": d.Step, "target": d.Target, "reason": d.Reason, "term": d.Term, "fence": fence, "members": formatMembers(v.Members),
+		"reported": formatPosition(v.Reported), "reports_complete": v.ReportsComplete,
 	}).Info("takeover decided")
 }
 
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -278,9 +278,9 @@
 	return p.Peers.Document(ctx, address, have)
 }
 
-func (p *cuttablePeers) Announce(ctx context.Context, address string, a managed.Announcement) error {
+func (p *cuttablePeers) Announce(ctx context.Context, address string, a managed.Announcement) (managed.AnnouncementReply, error) {
 	if p.node.cut.Load() {
-		return net.ErrClosed
+		return managed.AnnouncementReply{}, net.ErrClosed
 	}
 	return p.Peers.Announce(ctx, address, a)
 }
--- a/internal/managed/orders_test.go
+++ b/internal/managed/orders_test.go
@@ -76,14 +76,14 @@
 	} {
 		d := newDirectoryTest()
 		d.applyClaim(nil, Revision{2, 10}, true)
-		d.applyAnnouncement(Revision{2, 15})
+		d.applyAnnouncement(Announcement{Epoch: 2, Claim: 15})
 		assert.Equal(t, open(d), Revision{2, 15})
 		end(d)
 		assert.Equal(t, open(d), Revision{})
 	}
 	d := newDirectoryTest()
 	d.applyClaim(nil, Revision{2, 20}, true)
-	d.applyAnnouncement(Revision{2, 15})
+	d.applyAnnouncement(Announcement{Epoch: 2, Claim: 15})
 	assert.Equal(t, open(d), Revision{})
 }
 
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -159,6 +159,7 @@
 	if position.IsZero() {
 		return
 	}
+	d.behindSince = 0
 	// position.Term may be older than primaryTerm: right after a promotion the log may still
 	// end with an entry of an older term.
 	d.confirmedPositions.Add(freshness.ConfirmedPosition{Sent: sent, Position: position})
@@ -190,6 +191,9 @@
 	promoted := d.primaryTerm != 0 && term > d.primaryTerm
 	previous := d.primary
 	d.primary, d.primaryTerm = m, term
+	if m != nil {
+		d.behindSince = 0
+	}
 	d.pacePrimaryReplaced(previous)
 	d.proxy.events.primaryChanged(d.name, previous, m, term, reason)
 	if d.proxy.observer != nil && previous != m && m != nil {
--- a/internal/managed/reported_test.go
+++ b/internal/managed/reported_test.go
@@ -1,11 +1,14 @@
 package managed
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"skylarkhinge.dev/skylarkhinge/core/entity"
+	"skylarkhinge.dev/skylarkhinge/core/gateway"
 )
 
 // Guards against replicas whose word counts although they take their log with them, and against
@@ -43,3 +46,66 @@
 		})
 	}
 }
+
+// Guards against a takeover that takes the commits that it knows for all that were reported, and against
+// one that never does because a proxy has restarted.
+func TestNewestReportedCommitIsCertain(t *testing.T) {
+	const restarted, lately = 10 * time.Second, 5 * time.Second
+	answer := func(reported uint64, sentAgo time.Duration) AnnouncementReply {
+		return AnnouncementReply{
+			Reported: &entity.Position{Term: 1, Offset: reported}, ReportedMS: sentAgo.Milliseconds(), RecordedMS: restarted.Milliseconds(),
+		}
+	}
+	none := AnnouncementReply{Reported: &entity.Position{}, RecordedMS: restarted.Milliseconds()}
+	for _, c := range []struct {
+		name    string
+		own     reportedCommit
+		answers []AnnouncementReply
+		change  func(*database)
+		want    bool
+	}{
+		{"all have reported", reportedCommit{entity.Position{Term: 1, Offset: 5}, now()}, []AnnouncementReply{answer(6, lately), answer(7, lately)}, nil, true},
+		{"one does not answer", reportedCommit{entity.Position{Term: 1, Offset: 5}, now()}, []AnnouncementReply{answer(7, lately)}, nil, false},
+		{"one is of an earlier version", reportedCommit{}, []AnnouncementReply{answer(7, lately), {}}, nil, false},
+		{"one has restarted, a later commit is known", reportedCommit{}, []AnnouncementReply{none, answer(7, lately)}, nil, true},
+		{"one has restarted, none is known", reportedCommit{}, []AnnouncementReply{none, answer(7, 2*restarted)}, nil, false},
+		{"one has failed, none is known", reportedCommit{}, []AnnouncementReply{answer(6, lately), answer(7, lately)},
+			func(d *database) { d.gatewayLostAt = now() }, false},
+		{"a replica leaves of which they do not know", reportedCommit{}, []AnnouncementReply{answer(6, lately), answer(7, lately)},
+			func(d *database) { d.members["b"] = &member{name: "b", leavingSince: now()} }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDirectoryTest()
+			others := []gateway.Proxy{{VM: "x", StatusAddress: "x"}, {VM: "y", StatusAddress: "y"}}
+			d.proxy.options.Peers = &answeringPeers{answers: c.answers}
+			a := newAnnouncer(d, Revision{2, 15})
+			for i := range c.answers {
+				a.ask(t.Context(), others[i], Announcement{Database: d.name})
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			// The monitor does not use the database.
+			d.isGateway = false
+			d.proxy.fleetKnown.Store(true)
+			d.reported, d.recordedSince = c.own, now().Add(-restarted)
+			d.gateways = append(others, d.proxy.self())
+			if c.change != nil {
+				c.change(d)
+			}
+			_, complete := a.newestReported()
+			assert.Equal(t, complete, c.want)
+		})
+	}
+}
+
+// answeringPeers answers announcements in turn.
+type answeringPeers struct {
+	Peers
+	answers []AnnouncementReply
+}
+
+func (p *answeringPeers) Announce(context.Context, string, Announcement) (AnnouncementReply, error) {
+	answer := p.answers[0]
+	p.answers = p.answers[1:]
+	return answer, nil
+}
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -67,12 +67,15 @@
 		return nil
 	}
 	mon.db.setOwnClaim(c)
-	return &takeoverRun{
-		awaitAnnounced: mon.db.announce(c.revision),
-		monitor:        mon, db: mon.db, claim: c, reason: reason, replaced: replaced, startedAt: now(), renewedAt: now(),
-		planned:  reason == primaryLeaves || reason == replicasLag,
+	t := &takeoverRun{
+		announcer: newAnnouncer(mon.db, c.revision),
+		monitor:   mon, db: mon.db, claim: c, reason: reason, replaced: replaced, startedAt: now(), renewedAt: now(),
+		planned: reason == primaryLeaves || reason == replicasLag, keepLeader: reason == primaryStalled,
 		progress: takeover.New(reason == primaryStalled), paused: map[entity.Upstream]*member{},
 	}
+	t.answers = t.planned || reason == primaryStalled
+	t.announcer.announce()
+	return t
 }
 
 // acquireClaim acquires the claim of the database. It returns nil on failure.
@@ -109,9 +112,13 @@
 	// replaced is the primary to replace, nil if none was known. A primary that becomes
 	// known during the takeover ends it, unless that one does not answer either.
 	replaced *member
-	// planned is set while replaced answers as the healthy primary.
-	planned bool
-	// keepLeader is set if replaced is to be replaced only by the target of an open order.
+	// planned is set while replaced answers as the healthy primary, answers while it answers as the
+	// primary, whether it replicates or not.
+	planned, answers bool
+	// leaderReceived is the end of the log of replaced in its latest status, zero if unknown.
+	leaderReceived entity.Position
+	// keepLeader is set if replaced, while it is healthy, is to be replaced only by the target of an
+	// open order.
 	keepLeader bool
 	progress   *takeover.Takeover
 	startedAt  entity.Time
@@ -125,8 +132,10 @@
 	// recordedAt is the revision of the record of open orders that this takeover read or wrote last. If
 	// another holder has written it since, the next write fails.
 	recordedAt Revision
-	// awaitAnnounced waits until the other gateways know of the takeover, for a limited time.
-	awaitAnnounced func()
+	// logged is the last decision that was logged.
+	logged takeover.Decision
+	// announcer tells the other gateways of the takeover.
+	announcer *announcer
 	// ordered is set once an order was sent.
 	ordered bool
 	// prepared is set once the open orders and the members that this proxy did not know have been
@@ -147,10 +156,11 @@
 			continue
 		}
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
+		t.announcer.announce()
 		t.followPrimary(reports)
 		view := t.view(reports)
 		decision := t.progress.Next(now(), view)
-		t.db.proxy.events.takeoverStep(t.db.name, &view, decision, t.claim.fence())
+		t.logStep(&view, decision)
 		switch decision.Step {
 		case takeover.StepWait:
 			time.Sleep(takeoverPollInterval)
@@ -170,7 +180,9 @@
 				time.Sleep(takeoverPollInterval)
 			}
 		case takeover.StepPromote:
-			t.awaitAnnounced()
+			if t.announcer.wait(); t.reportsChanged(&view) {
+				continue
+			}
 			// A member that was added since the replicas were paused receives commits.
 			added, ok := t.readNewMembers()
 			if !ok {
@@ -190,6 +202,26 @@
 	t.giveUp()
 }
 
+// reportsChanged reports whether other proxies have told of more commits since a decision.
+func (t *takeoverRun) reportsChanged(v *takeover.View) bool {
+	t.db.mu.Lock()
+	defer t.db.mu.Unlock()
+	if !v.Synchronous {
+		return false
+	}
+	reported, complete := t.announcer.newestReported()
+	return reported != v.Reported || complete != v.ReportsComplete
+}
+
+// logStep logs a decision unless it only repeats the wait of the last one.
+func (t *takeoverRun) logStep(v *takeover.View, d takeover.Decision) {
+	repeated := d.Step == takeover.StepWait && t.logged.Step == d.Step && t.logged.Reason == d.Reason
+	t.logged = d
+	if !repeated {
+		t.db.proxy.events.takeoverStep(t.db.name, v, d, t.claim.fence())
+	}
+}
+
 // followPrimary goes on with a primary that leads instead of the one to replace while an order with
 // another target is open.
 func (t *takeoverRun) followPrimary(reports []statusReport) {
@@ -202,7 +234,8 @@
 	if primary == t.replaced || !t.orderedOtherThan(primary.name) {
 		return
 	}
-	t.replaced, t.planned, t.keepLeader = primary, true, true
+	t.replaced, t.planned, t.answers, t.keepLeader = primary, true, true, true
+	t.leaderReceived = entity.Position{}
 	t.progress = takeover.New(false)
 }
 
@@ -262,7 +295,7 @@
 	t.db.removeExpiredMembers(now())
 	t.db.mu.Unlock()
 	members := t.db.allMembers()
-	if t.planned {
+	if t.answers {
 		return members
 	}
 	return slices.DeleteFunc(members, func(m *member) bool { return m == t.replaced })
@@ -299,7 +332,11 @@
 	if lost := d.lastReplicaLoss(); lost != 0 {
 		v.ReplicaLost, v.LostFor = true, at.Sub(lost)
 	}
-	if t.replaced != nil && !t.planned {
+	if v.Synchronous {
+		v.Reported, v.ReportsComplete = t.announcer.newestReported()
+		v.Departed = t.announcer.replicaDeparted(at)
+	}
+	if t.replaced != nil && !t.answers {
 		v.Members = append(v.Members, takeover.Member{Name: t.replaced.name})
 	}
 	for i := range reports {
@@ -312,20 +349,40 @@
 		switch {
 		case r.member == t.replaced:
 			v.LeaderHealthy = m.Reached && m.Primary
+			v.LeaderAnswers = v.LeaderHealthy
+			if m.Reached {
+				t.leaderReceived = m.Received
+			}
 			// A primary that does not answer is considered lost and is not queried again.
-			t.planned = m.Reached
+			t.planned, t.answers = t.planned && m.Reached, v.LeaderHealthy
 		case r.member == d.primary && !m.Reached:
-			t.replaced, t.planned = r.member, false
-			v.LeaderHealthy = false
+			t.replaced, t.planned, t.answers = r.member, false, false
+			v.LeaderHealthy, v.LeaderAnswers = false, false
 		}
 		v.Members = append(v.Members, m)
 	}
 	if t.replaced != nil {
 		v.Leader = t.replaced.name
+		v.LeaderAnswers = v.LeaderAnswers || t.announcer.reaches(v.Leader)
+		v.LeaderReceived = t.leaderReceived
 	}
+	v.BehindFor = d.behindFor(&v, at)
 	return v
 }
 
+// behindFor returns the time for which no primary has answered while no replica was known to hold all
+// reported commits, also in earlier takeovers of this proxy. The mutex is held.
+func (d *database) behindFor(v *takeover.View, at entity.Time) time.Duration {
+	if v.LeaderAnswers || !v.Behind() {
+		d.behindSince = 0
+		return 0
+	}
+	if d.behindSince == 0 {
+		d.behindSince = at
+	}
+	return at.Sub(d.behindSince)
+}
+
 // groupSize is the number of members of a complete group.
 const groupSize = 3
 
@@ -517,7 +574,7 @@
 		resumed.Go(func() { t.sendResume(pausedAmong(membersNamed(reports, []entity.Upstream{target}), reports)) })
 	}
 	var leader *member
-	if t.planned {
+	if t.answers {
 		leader = t.replaced
 	}
 	result := t.order(target, leader)
