A primary counts as lost in a takeover only after two calls without an answer

Found by a model of departures: a takeover of a primary that answers but does not replicate took one lost status call for the loss of the primary, and went on without the commits that only the primary held. Change: as in the monitor, the primary may miss one call; the decision waits for the next one.

--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -115,6 +115,8 @@
 	// planned is set while replaced answers as the healthy primary, answers while it answers as the
 	// primary, whether it replicates or not.
 	planned, answers bool
+	// leaderMisses counts the latest calls that replaced has not answered.
+	leaderMisses int
 	// leaderReceived is the end of the log of replaced in its latest status, zero if unknown.
 	leaderReceived entity.Position
 	// keepLeader is set if replaced, while it is healthy, is to be replaced only by the target of an
@@ -158,6 +160,10 @@
 		reports := t.monitor.queryMembers(Command{Kind: CommandStatus}, t.membersToQuery())
 		t.announcer.announce()
 		t.followPrimary(reports)
+		if t.leaderMissed(reports) {
+			time.Sleep(takeoverPollInterval)
+			continue
+		}
 		view := t.view(reports)
 		decision := t.progress.Next(now(), view)
 		t.logStep(&view, decision)
@@ -202,6 +208,18 @@
 	t.giveUp()
 }
 
+// leaderMissed reports whether the primary to replace, which answered until now, has not answered the
+// latest calls but may answer the next one.
+func (t *takeoverRun) leaderMissed(reports []statusReport) bool {
+	i := slices.IndexFunc(reports, func(r statusReport) bool { return r.member == t.replaced })
+	if i < 0 || reports[i].err == nil {
+		t.leaderMisses = 0
+		return false
+	}
+	t.leaderMisses++
+	return t.leaderMisses < maxMisses
+}
+
 // reportsChanged reports whether other proxies have told of more commits since a decision.
 func (t *takeoverRun) reportsChanged(v *takeover.View) bool {
 	t.db.mu.Lock()
