A replica that has left does not count for commits that were sent before its end

Found by a model of departures: a commit that only a leaving replica had received and that waited, for a takeover or for evidence, was reported on the primary's word once that replica's entry was gone. So was one that the replica acknowledged while it went on without its entry. Change: replicas that have left count as departing for commits that were sent before their removal, and for 10 s after it, as long as another replica stays. Result: a case of TestDepartingReplicas.

--- a/internal/managed/commit.go
+++ b/internal/managed/commit.go
@@ -120,7 +120,7 @@
 		return takeover.Evidence{}
 	}
 	evidence := takeover.Evidence{
-		Ordered: d.orders.Targets, Claimed: d.openClaim() != Revision{}, Departing: d.departing(c.primary, now()),
+		Ordered: d.orders.Targets, Claimed: d.openClaim() != Revision{}, Departing: d.departing(c, now()),
 		Uncertain: d.proxy.storeUncertain() || c.took >= slowCommit || !d.inUseAsGateway(),
 		// A takeover that ended since then may have replaced the primary, which this proxy may not know
 		// yet.
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -39,6 +39,9 @@
 	// lostReplicas are the replicas that were removed without having announced their shutdown and
 	// have not returned, with the time of their removal.
 	lostReplicas map[entity.Upstream]entity.Time
+	// ended are the replicas that were removed after they had announced their shutdown, with the time of
+	// their removal.
+	ended map[entity.Upstream]entity.Time
 	// departedAt is when a replica was last found to have ended, as announced or not, or to have
 	// restarted, 0 if none was.
 	departedAt entity.Time
@@ -140,6 +143,7 @@
 		members:         map[entity.Upstream]*member{},
 		waiting:         map[entity.Handle]*waiter{},
 		lostReplicas:    map[entity.Upstream]entity.Time{},
+		ended:           map[entity.Upstream]entity.Time{},
 		connectionShare: 1,
 		recordedSince:   now(),
 	}
--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -12,6 +12,9 @@
 	// lossMemory is how long it is remembered that a replica has ended, longer than a takeover without a primary
 	// waits for it.
 	lossMemory = time.Minute
+	// endSlack is how long a replica that announced its shutdown may go on after its removal: its entry
+	// also expires if it loses the store.
+	endSlack = 10 * time.Second
 	// unknownDepartures is how long after its start a proxy assumes that replicas have ended which it
 	// does not know.
 	unknownDepartures = 12 * time.Second
@@ -31,10 +34,15 @@
 			continue
 		}
 		m.removed = true
-		if m != d.primary && !m.entry.Primary && m.leavingSince == 0 {
-			d.recordLostReplica(at, name)
-		}
-		if m != d.primary {
+		switch {
+		case m == d.primary:
+		case m.leavingSince != 0:
+			recordEnd(d.ended, at, name)
+			d.departedAt = at
+		default:
+			if !m.entry.Primary {
+				recordEnd(d.lostReplicas, at, name)
+			}
 			d.departedAt = at
 		}
 		for _, conn := range m.idleConns {
@@ -47,11 +55,10 @@
 	}
 }
 
-// recordLostReplica records that a replica was removed that had not announced its shutdown. The
-// mutex is held.
-func (d *database) recordLostReplica(at entity.Time, name entity.Upstream) {
-	maps.DeleteFunc(d.lostReplicas, func(_ entity.Upstream, lost entity.Time) bool { return at.Sub(lost) > lossMemory })
-	d.lostReplicas[name] = at
+// recordEnd records that a replica was removed, and forgets those removed before lossMemory.
+func recordEnd(ends map[entity.Upstream]entity.Time, at entity.Time, name entity.Upstream) {
+	maps.DeleteFunc(ends, func(_ entity.Upstream, removed entity.Time) bool { return at.Sub(removed) > lossMemory })
+	ends[name] = at
 }
 
 // lastReplicaLoss returns when a replica that has not returned was last removed, 0 if none was.
@@ -64,18 +71,17 @@
 	return last
 }
 
-// departing returns the replicas that the primary may count when it acknowledges a commit, but a
+// departing returns the replicas that the primary may have counted when it acknowledged a commit, but a
 // takeover may not: they leave, are not listed any more, or were lost and may be running. It is empty if
-// no other replica stays, besides a member that acknowledged a commit. The result is sorted. The mutex
-// is held.
-func (d *database) departing(acknowledged *member, at entity.Time) []entity.Upstream {
-	var leaving, missing []entity.Upstream
+// no other replica stays, besides the primary of the commit. The result is sorted. The mutex is held.
+func (d *database) departing(c *commit, at entity.Time) []entity.Upstream {
+	var departing, missing []entity.Upstream
 	listed := false
 	for _, m := range d.members {
 		switch {
-		case m == d.primary || m == acknowledged:
+		case m == d.primary || m == c.primary:
 		case m.leavingSince != 0:
-			leaving = append(leaving, m.name)
+			departing = append(departing, m.name)
 		case m.missingSince != 0:
 			missing = append(missing, m.name)
 		default:
@@ -84,15 +90,20 @@
 	}
 	switch {
 	case listed:
-		leaving = append(leaving, missing...)
+		departing = append(departing, missing...)
 	case len(missing) == 0:
 		return nil
 	}
-	for name, lost := range d.lostReplicas {
-		if at.Sub(lost) <= lossMemory {
-			leaving = append(leaving, name)
+	for name, removed := range d.lostReplicas {
+		if at.Sub(removed) <= lossMemory {
+			departing = append(departing, name)
+		}
+	}
+	for name, removed := range d.ended {
+		if c.sent < removed.Add(endSlack) {
+			departing = append(departing, name)
 		}
 	}
-	slices.Sort(leaving)
-	return leaving
+	slices.Sort(departing)
+	return departing
 }
--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -90,6 +90,7 @@
 		m = &member{name: entry.Name, entry: entry, distance: distance, listedAt: listedAt}
 		d.members[entry.Name] = m
 		delete(d.lostReplicas, entry.Name)
+		delete(d.ended, entry.Name)
 		if len(d.members) <= groupSize {
 			d.memberAddedAt = at
 		}
--- a/internal/managed/reported_test.go
+++ b/internal/managed/reported_test.go
@@ -18,16 +18,18 @@
 	for _, c := range []struct {
 		name   string
 		states map[entity.Upstream]int
-		lost   bool
-		want   []entity.Upstream
+		// lost and ended are set if a replica z was removed, after an announcement or without one.
+		lost, ended bool
+		want        []entity.Upstream
 	}{
-		{"all stay", map[entity.Upstream]int{"b": listed, "c": listed}, false, nil},
-		{"one leaves", map[entity.Upstream]int{"b": leaving, "c": listed}, false, []entity.Upstream{"b"}},
-		{"one is missing", map[entity.Upstream]int{"b": listed, "c": missing}, false, []entity.Upstream{"c"}},
-		{"one was lost", map[entity.Upstream]int{"b": listed}, true, []entity.Upstream{"z"}},
-		{"all leave", map[entity.Upstream]int{"b": leaving, "c": leaving}, true, nil},
-		{"all are missing", map[entity.Upstream]int{"b": missing, "c": missing}, false, nil},
-		{"one leaves, the other is missing", map[entity.Upstream]int{"b": leaving, "c": missing}, false, []entity.Upstream{"b"}},
+		{"all stay", map[entity.Upstream]int{"b": listed, "c": listed}, false, false, nil},
+		{"one leaves", map[entity.Upstream]int{"b": leaving, "c": listed}, false, false, []entity.Upstream{"b"}},
+		{"one is missing", map[entity.Upstream]int{"b": listed, "c": missing}, false, false, []entity.Upstream{"c"}},
+		{"one was lost", map[entity.Upstream]int{"b": listed}, true, false, []entity.Upstream{"z"}},
+		{"one has left", map[entity.Upstream]int{"b": listed}, false, true, []entity.Upstream{"z"}},
+		{"all leave", map[entity.Upstream]int{"b": leaving, "c": leaving}, true, false, nil},
+		{"all are missing", map[entity.Upstream]int{"b": missing, "c": missing}, false, false, nil},
+		{"one leaves, the other is missing", map[entity.Upstream]int{"b": leaving, "c": missing}, false, false, []entity.Upstream{"b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDirectoryTest()
@@ -40,9 +42,12 @@
 				}
 			}
 			if c.lost {
-				d.recordLostReplica(now(), "z")
+				recordEnd(d.lostReplicas, now(), "z")
 			}
-			assert.DeepEqual(t, d.departing(d.primary, now()), c.want)
+			if c.ended {
+				recordEnd(d.ended, now(), "z")
+			}
+			assert.DeepEqual(t, d.departing(&commit{primary: d.primary, sent: now()}, now()), c.want)
 		})
 	}
 }
