Evidence of replicas that stay is read without taking a slot

While a replica departs, each commit needs a word of one that stays. A status call takes a slot of the upstream and is priced like a health check. The position in the reply to a transaction that the replica refuses costs neither; it shows what reads see, a lag behind what the replica has received. It is asked for first, five times, then the status. The regression tests pass.

--- a/internal/managed/commit.go
+++ b/internal/managed/commit.go
@@ -23,6 +23,9 @@
 	// nextHolderDelay is the time after which more members are asked if the nearest one does not hold
 	// a commit. It covers a round trip between regions.
 	nextHolderDelay = 50 * time.Millisecond
+	// logReads is how often a replica is asked for the log that its reads see before it is asked for its
+	// status. The status also shows what it has received and not applied, but takes a slot.
+	logReads = 5
 )
 
 // commit is a commit that its primary has acknowledged.
@@ -171,7 +174,11 @@
 		if i > 0 && evidence.OneSuffices() {
 			delay = nextHolderDelay
 		}
-		go d.monitor.pollHolder(m, listed[i], delay, answers, ended)
+		reads := 0
+		if evidence.OneSuffices() {
+			reads = logReads
+		}
+		go d.monitor.pollHolder(m, listed[i], delay, reads, answers, ended)
 	}
 	ticker := time.NewTicker(holderPollInterval)
 	defer ticker.Stop()
@@ -204,15 +211,20 @@
 	return commitMayBeLost
 }
 
-// pollHolder sends the status of a member again and again, after a delay, until ended is closed.
-func (mon *monitor) pollHolder(m *member, listed bool, delay time.Duration, answers chan<- takeover.Holder, ended <-chan struct{}) {
-	for {
+// pollHolder sends what a member holds again and again, after a delay, until ended is closed. The first
+// reads answers show only what reads see.
+func (mon *monitor) pollHolder(m *member, listed bool, delay time.Duration, reads int, answers chan<- takeover.Holder, ended <-chan struct{}) {
+	for try := 0; ; try++ {
 		select {
 		case <-time.After(delay):
 		case <-ended:
 			return
 		}
-		h := mon.sharedStatus(m)
+		query := mon.holderByStatus
+		if try < reads {
+			query = mon.holderByLog
+		}
+		h := mon.sharedQuery(m, query)
 		h.Listed = listed
 		select {
 		case answers <- h:
@@ -255,9 +267,9 @@
 	holder takeover.Holder
 }
 
-// sharedStatus returns the status of a member. Calls made while another one is in progress wait for
-// its result: commits need only a report that shows enough of the log, however old.
-func (mon *monitor) sharedStatus(m *member) takeover.Holder {
+// sharedQuery returns what a member holds. Calls made while another one is in progress wait for its
+// result: commits need only an answer that shows enough of the log, however old.
+func (mon *monitor) sharedQuery(m *member, query func(*member) takeover.Holder) takeover.Holder {
 	d := mon.db
 	d.mu.Lock()
 	call := m.statusCall
@@ -265,10 +277,7 @@
 		call = &statusCall{done: make(chan struct{})}
 		m.statusCall = call
 		go func() {
-			r := mon.queryMember(m, Command{Kind: CommandStatus})
-			call.holder = takeover.Holder{
-				Name: m.name, Reached: r.err == nil, Primary: r.err == nil && r.status.Primary, Term: r.status.Term, Received: r.status.Received,
-			}
+			call.holder = query(m)
 			d.mu.Lock()
 			m.statusCall = nil
 			d.mu.Unlock()
@@ -279,3 +288,34 @@
 	<-call.done
 	return call.holder
 }
+
+// holderByStatus returns what a member holds according to its status.
+func (mon *monitor) holderByStatus(m *member) takeover.Holder {
+	r := mon.queryMember(m, Command{Kind: CommandStatus})
+	return takeover.Holder{
+		Name: m.name, Reached: r.err == nil, Primary: r.err == nil && r.status.Primary, Term: r.status.Term, Received: r.status.Received,
+	}
+}
+
+// holderByLog returns what a replica holds according to the position in its reply to a transaction that
+// it refuses, without its term. That takes no slot and is not priced. Without an idle connection the
+// status is asked.
+func (mon *monitor) holderByLog(m *member) takeover.Holder {
+	d := mon.db
+	d.mu.Lock()
+	conn := m.takeIdle(&ownWork)
+	d.mu.Unlock()
+	if conn == nil {
+		return mon.holderByStatus(m)
+	}
+	replies, err := conn.exchange(time.Now().Add(probeTimeout), Command{Kind: CommandBegin}, Command{Kind: CommandRollback})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil || replies[1].State != StateIdle {
+		d.dropConnLocked(conn)
+		return takeover.Holder{Name: m.name}
+	}
+	d.returnConn(conn)
+	position := replies[1].Position
+	return takeover.Holder{Name: m.name, Reached: !position.IsZero(), Term: position.Term, Received: position}
+}
