A smaller log budget takes effect at once

Cause: a reload changed the budget of the next second only. Since a proxy asks for evidence before it is known as a gateway, it writes a line about its first commit, so that the second of the reload had begun with the old budget. Change: what is left of the present second is cut to the new budget.

--- a/internal/managed/events.go
+++ b/internal/managed/events.go
@@ -61,6 +61,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.maxLines, e.maxBytes = linesPerSecond, bytesPerSecond
+	// The present second may have begun with a larger budget.
+	e.linesLeft, e.bytesLeft = min(e.linesLeft, linesPerSecond), min(e.bytesLeft, bytesPerSecond)
 }
 
 // request starts a log line about a request, after admit returned true.
