A switchover does not wait for what callers are told of meanwhile

A leaving primary that is healthy was not replaced while a gateway did not answer the announcement: callers are told of commits all the time, so that the newest reported commit had changed after each wait for that gateway. Change: the successor of a healthy primary holds the primary's log anyway. In a failover, the decision is made again only if its target lacks what was reported since, or if it is not certain any more.

--- a/core/takeover/progress.go
+++ b/core/takeover/progress.go
@@ -62,6 +62,9 @@
 	return d
 }
 
+// LeaderStalled reports whether the leader is known to answer but to replicate nothing.
+func (t *Takeover) LeaderStalled() bool { return t.stalled }
+
 // observeReplicas records what the replicas report, and sets which of them were paused early.
 func (t *Takeover) observeReplicas(v *View) {
 	paused := 0
--- a/internal/managed/departures_test.go
+++ b/internal/managed/departures_test.go
@@ -93,3 +93,17 @@
 	play("leaves, proxy without store", true, cutTime, func(l *ledger) { l.store.RejectProxy(l.nodes[1].settings.VM) }, nothing, nothing)
 	play("crashes", false, lossCutTime, none, nothing, nothing)
 }
+
+// Guards against a leaving primary that is not replaced because proxies do not answer an announcement.
+func TestSwitchoverDoesNotWaitForSilentProxies(t *testing.T) {
+	l := newWritingFleet(t, 3)
+	old := l.group.Primary()
+	// No takeover begins before the list of members has settled.
+	time.Sleep(4 * time.Second)
+	for _, n := range l.nodes {
+		n.announcesInVain.Store(true)
+	}
+	old.SetLeaving(true)
+	waitFor(t, 2*time.Second+l.group.PromoteDelay, "a new primary", func() bool { return l.group.Primary() != old })
+	l.check(l.nodes, l.group.Members()[:groupSize]...)
+}
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -91,8 +91,10 @@
 	// ignorePeers makes the proxy leave HTTP requests of other proxies unanswered.
 	ignorePeers atomic.Bool
 	// cut makes HTTP requests of the proxy to other proxies fail.
-	cut  atomic.Bool
-	done chan error
+	cut atomic.Bool
+	// announcesInVain makes announcements of the proxy remain without an answer.
+	announcesInVain atomic.Bool
+	done            chan error
 	// stop ends the proxy at once and closes its callers' connections.
 	stop      func()
 	recording bool
@@ -282,6 +284,10 @@
 	if p.node.cut.Load() {
 		return managed.AnnouncementReply{}, net.ErrClosed
 	}
+	if p.node.announcesInVain.Load() {
+		<-ctx.Done()
+		return managed.AnnouncementReply{}, ctx.Err()
+	}
 	return p.Peers.Announce(ctx, address, a)
 }
 
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -186,7 +186,7 @@
 				time.Sleep(takeoverPollInterval)
 			}
 		case takeover.StepPromote:
-			if t.announcer.wait(); t.reportsChanged(&view) {
+			if t.announcer.wait(); t.reportsChanged(&view, decision.Target) {
 				continue
 			}
 			// A member that was added since the replicas were paused receives commits.
@@ -220,15 +220,21 @@
 	return t.leaderMisses < maxMisses
 }
 
-// reportsChanged reports whether other proxies have told of more commits since a decision.
-func (t *takeoverRun) reportsChanged(v *takeover.View) bool {
-	t.db.mu.Lock()
-	defer t.db.mu.Unlock()
-	if !v.Synchronous {
+// reportsChanged reports whether the target of a failover is not known any more to hold what other
+// proxies have reported, since they have answered after the decision.
+func (t *takeoverRun) reportsChanged(v *takeover.View, target entity.Upstream) bool {
+	if !v.Synchronous || v.LeaderHealthy && !t.progress.LeaderStalled() {
 		return false
 	}
+	t.db.mu.Lock()
+	defer t.db.mu.Unlock()
 	reported, complete := t.announcer.newestReported()
-	return reported != v.Reported || complete != v.ReportsComplete
+	if v.ReportsComplete && !complete {
+		return true
+	}
+	return v.Reported != reported && slices.ContainsFunc(v.Members, func(m takeover.Member) bool {
+		return m.Name == target && m.Received.Less(reported)
+	})
 }
 
 // logStep logs a decision unless it only repeats the wait of the last one.
