Answers about reported commits are void once a replica has ended

Found by a model of departures: a gateway answered an announcement, then reported a commit because a replica held it that was lost a moment later. The answer, which did not cover that commit, still counted as complete. Change: the gateways are asked again after a replica has ended or restarted, as after one has begun to leave. Result: a case of TestNewestReportedCommitIsCertain, which fails without the change (the field did not exist).

--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -64,9 +64,11 @@
 	claim Revision
 
 	mu sync.Mutex
-	// leaving are the upstreams announced as leaving. answers are the replies since then.
-	leaving []UpstreamProcess
-	answers map[entity.VM]gatewayAnswer
+	// leaving are the upstreams announced as leaving, departedAt is when a replica had ended last by then.
+	// answers are the replies since then.
+	leaving    []UpstreamProcess
+	departedAt entity.Time
+	answers    map[entity.VM]gatewayAnswer
 	// reported is the newest commit of all replies. primaries are the primaries that other proxies
 	// reach. departed is set if one of them remembers that a replica has ended.
 	reported  reportedCommit
@@ -90,15 +92,15 @@
 	return &announcer{db: d, claim: claim, answers: map[entity.VM]gatewayAnswer{}, primaries: map[entity.Upstream]bool{}, round: done}
 }
 
-// announce asks the gateways that have not answered since the set of leaving upstreams last changed. It
-// does not wait for them.
+// announce asks the gateways that have not answered since a replica last began to leave or ended. It does
+// not wait for them.
 func (a *announcer) announce() {
 	a.db.mu.Lock()
-	gateways, leaving := a.db.gateways, a.db.leavingProcesses()
+	gateways, leaving, departedAt := a.db.gateways, a.db.leavingProcesses(), a.db.departedAt
 	a.db.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := !slices.Equal(leaving, a.leaving)
+	changed := a.isOutdated(leaving, departedAt)
 	select {
 	case <-a.round:
 	default:
@@ -107,7 +109,7 @@
 		}
 	}
 	if changed {
-		a.leaving, a.answers = leaving, map[entity.VM]gatewayAnswer{}
+		a.leaving, a.departedAt, a.answers = leaving, departedAt, map[entity.VM]gatewayAnswer{}
 	}
 	at := now()
 	// An announcement ends at its receivers.
@@ -127,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	var asked sync.WaitGroup
 	for _, g := range gateways {
-		asked.Go(func() { a.ask(ctx, g, message) })
+		asked.Go(func() { a.ask(ctx, g, message, departedAt) })
 	}
 	go func() {
 		asked.Wait()
@@ -136,13 +138,20 @@
 	}()
 }
 
+// isOutdated reports whether answers may have counted a replica as evidence that leaves or has ended
+// since. The mutex is held.
+func (a *announcer) isOutdated(leaving []UpstreamProcess, departedAt entity.Time) bool {
+	return !slices.Equal(leaving, a.leaving) || departedAt != a.departedAt
+}
+
 // isOther reports whether a gateway is another proxy that can be asked.
 func (a *announcer) isOther(g gateway.Proxy) bool {
 	p := a.db.proxy
 	return p.options.Peers != nil && g.VM != p.self().VM && g.StatusAddress != ""
 }
 
-func (a *announcer) ask(ctx context.Context, g gateway.Proxy, message Announcement) {
+// ask announces the takeover to a gateway. departedAt is when a replica had ended last by then.
+func (a *announcer) ask(ctx context.Context, g gateway.Proxy, message Announcement, departedAt entity.Time) {
 	asked := now()
 	reply, err := a.db.proxy.options.Peers.Announce(ctx, g.StatusAddress, message)
 	if err != nil {
@@ -161,8 +170,7 @@
 		answer.reports = !reply.Reported.IsZero()
 		a.reported = a.reported.newer(reportedCommit{*reply.Reported, asked.Add(-time.Duration(reply.ReportedMS) * time.Millisecond)})
 	}
-	if slices.Equal(message.Leaving, a.leaving) {
-		// Otherwise the proxy may have counted an upstream since that leaves as well.
+	if !a.isOutdated(message.Leaving, departedAt) {
 		a.answers[g.VM] = answer
 	}
 }
@@ -195,7 +203,7 @@
 	defer a.mu.Unlock()
 	d := a.db
 	newest := d.reported.newer(a.reported)
-	complete = d.proxy.fleetKnown.Load() && slices.Equal(a.leaving, d.leavingProcesses()) &&
+	complete = d.proxy.fleetKnown.Load() && !a.isOutdated(d.leavingProcesses(), d.departedAt) &&
 		(d.gatewayLostAt == 0 || d.gatewayLostAt < newest.sent) &&
 		(!d.reported.position.IsZero() || d.recordedSince < newest.sent)
 	for _, g := range d.gateways {
--- a/internal/managed/reported_test.go
+++ b/internal/managed/reported_test.go
@@ -78,6 +78,8 @@
 			func(d *database) { d.gatewayLostAt = now() }, false},
 		{"a replica leaves of which they do not know", reportedCommit{}, []AnnouncementReply{answer(6, lately), answer(7, lately)},
 			func(d *database) { d.members["b"] = &member{name: "b", leavingSince: now()} }, false},
+		{"a replica has ended since", reportedCommit{}, []AnnouncementReply{answer(6, lately), answer(7, lately)},
+			func(d *database) { d.departedAt = now() }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDirectoryTest()
@@ -85,7 +87,7 @@
 			d.proxy.options.Peers = &answeringPeers{answers: c.answers}
 			a := newAnnouncer(d, Revision{2, 15})
 			for i := range c.answers {
-				a.ask(t.Context(), others[i], Announcement{Database: d.name})
+				a.ask(t.Context(), others[i], Announcement{Database: d.name}, 0)
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
