A primary that other proxies reach counts only by an answer after this proxy's last miss

Found by a review: an answer up to a second old, from before a crash, made a takeover take the crashed primary for one that answers others, and wait for it for the whole takeover (2.5 s) if what was reported was not certain. Change: a gateway tells when it asked the primary that last answered; it counts if the holder's own last call failed before. The answer is that of the member believed to lead, not of an earlier one.

--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -22,8 +22,6 @@
 	announceTimeout = 150 * time.Millisecond
 	// announcementTTL is how long an announced takeover counts as open without word from the store.
 	announcementTTL = maxTakeover
-	// primaryAnswerAge is the maximum age of an answer of the primary that another proxy may go by.
-	primaryAnswerAge = time.Second
 )
 
 // Announcement tells another proxy that a takeover has begun, sooner than the store does and also if
@@ -53,9 +51,9 @@
 	RecordedMS int64 `json:"recorded_ms"`
 	// Departed is set if the proxy remembers that a replica has ended.
 	Departed bool `json:"departed,omitempty"`
-	// Primary is the primary that the proxy has confirmed within primaryAnswerAge, empty if there is
-	// none.
-	Primary entity.Upstream `json:"primary,omitempty"`
+	// Primary is the primary that has answered the proxy a call sent PrimaryMS ago, empty if none has.
+	Primary   entity.Upstream `json:"primary,omitempty"`
+	PrimaryMS int64           `json:"primary_ms,omitempty"`
 }
 
 // announcer tells the other gateways of a database about a takeover, and collects what they know.
@@ -69,10 +67,10 @@
 	leaving    []UpstreamProcess
 	departedAt entity.Time
 	answers    map[entity.VM]gatewayAnswer
-	// reported is the newest commit of all replies. primaries are the primaries that other proxies
-	// reach. departed is set if one of them remembers that a replica has ended.
+	// reported is the newest commit of all replies. primaries are the primaries that answered other proxies
+	// calls sent at the given times. departed is set if a proxy remembers that a replica has ended.
 	reported  reportedCommit
-	primaries map[entity.Upstream]bool
+	primaries map[entity.Upstream]entity.Time
 	departed  bool
 	askedAt   entity.Time
 	// round is closed when the gateways asked last have answered or their time has passed.
@@ -89,7 +87,7 @@
 func newAnnouncer(d *database, claim Revision) *announcer {
 	done := make(chan struct{})
 	close(done)
-	return &announcer{db: d, claim: claim, answers: map[entity.VM]gatewayAnswer{}, primaries: map[entity.Upstream]bool{}, round: done}
+	return &announcer{db: d, claim: claim, answers: map[entity.VM]gatewayAnswer{}, primaries: map[entity.Upstream]entity.Time{}, round: done}
 }
 
 // announce asks the gateways that have not answered since a replica last began to leave or ended. It does
@@ -162,7 +160,7 @@
 	defer a.mu.Unlock()
 	a.departed = a.departed || reply.Departed
 	if reply.Primary != "" {
-		a.primaries[reply.Primary] = true
+		a.primaries[reply.Primary] = max(a.primaries[reply.Primary], asked.Add(-time.Duration(reply.PrimaryMS)*time.Millisecond))
 	}
 	answer := gatewayAnswer{known: true, recordedSince: entity.Never}
 	if reply.Reported != nil {
@@ -223,11 +221,11 @@
 	return a.departed || a.db.replicaDeparted(at)
 }
 
-// reaches reports whether another proxy reached a primary when it answered.
-func (a *announcer) reaches(primary entity.Upstream) bool {
+// reached reports whether a primary has answered another proxy a call that was sent after a time.
+func (a *announcer) reached(primary entity.Upstream, after entity.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.primaries[primary]
+	return a.primaries[primary] > after
 }
 
 // ServeTakeover records a takeover that another proxy announces, and answers with the commits that this
@@ -266,8 +264,8 @@
 	if !reported.IsZero() {
 		reply.ReportedMS = at.Sub(d.reported.sent).Milliseconds()
 	}
-	if d.primary != nil && at.Sub(d.confirmedPositions.Newest().Sent) <= primaryAnswerAge {
-		reply.Primary = d.primary.name
+	if d.primary != nil && d.primaryAnsweredAt != 0 {
+		reply.Primary, reply.PrimaryMS = d.primary.name, at.Sub(d.primaryAnsweredAt).Milliseconds()
 	}
 	claim := Revision{a.Epoch, a.Claim}
 	if claim.before(d.claimRemovedAt) || claim.before(d.announced) {
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -65,8 +65,11 @@
 
 	// primary is the believed primary, nil if none is known; primaryTerm is the newest term
 	// known.
-	primary            *member
-	primaryTerm        uint64
+	primary     *member
+	primaryTerm uint64
+	// primaryAnsweredAt is when the last call was sent that primary answered as such, 0 if it answered
+	// none.
+	primaryAnsweredAt  entity.Time
 	confirmedPositions freshness.History
 	// confirmationDone is closed when the confirmation in progress, which reads wait for,
 	// has succeeded or failed. It is nil if none is in progress.
--- a/internal/managed/monitor.go
+++ b/internal/managed/monitor.go
@@ -66,7 +66,9 @@
 	// queried yet.
 	listedPrimary atomic.Pointer[member]
 	// misses counts consecutive failed status calls to the primary.
-	misses               int
+	misses int
+	// missedAt is when the primary last did not answer.
+	missedAt             entity.Time
 	noPrimarySince       entity.Time
 	nextTakeover         entity.Time
 	nextIdleConfirmation entity.Time
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -160,6 +160,9 @@
 		return
 	}
 	d.behindSince = 0
+	if m == d.primary {
+		d.primaryAnsweredAt = max(d.primaryAnsweredAt, sent)
+	}
 	// position.Term may be older than primaryTerm: right after a promotion the log may still
 	// end with an entry of an older term.
 	d.confirmedPositions.Add(freshness.ConfirmedPosition{Sent: sent, Position: position})
@@ -190,6 +193,9 @@
 	}
 	promoted := d.primaryTerm != 0 && term > d.primaryTerm
 	previous := d.primary
+	if m != previous {
+		d.primaryAnsweredAt = 0
+	}
 	d.primary, d.primaryTerm = m, term
 	if m != nil {
 		d.behindSince = 0
--- a/internal/managed/primary.go
+++ b/internal/managed/primary.go
@@ -116,6 +116,7 @@
 		return
 	}
 	mon.misses++
+	mon.missedAt = began
 	mon.db.proxy.events.primaryMissed(mon.db.name, primary, mon.misses, r.err)
 	if mon.db.connFailures(primary) >= requestFailureThreshold {
 		mon.misses = max(mon.misses, maxMisses)
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -217,6 +217,7 @@
 		return false
 	}
 	t.leaderMisses++
+	t.monitor.missedAt = now()
 	return t.leaderMisses < maxMisses
 }
 
@@ -387,7 +388,7 @@
 	}
 	if t.replaced != nil {
 		v.Leader = t.replaced.name
-		v.LeaderAnswers = v.LeaderAnswers || t.announcer.reaches(v.Leader)
+		v.LeaderAnswers = v.LeaderAnswers || t.announcer.reached(v.Leader, t.monitor.missedAt)
 		v.LeaderReceived = t.leaderReceived
 	}
 	v.BehindFor = d.behindFor(&v, at)
