Answers about reported commits are void once a replica has joined

Change: the gateways are asked again when the members change. A gateway for which no replica stays goes by those that the holder of an open takeover has announced as leaving. Result: TestHolderKnowsLessReplicasToLeave, and a case of TestNewestReportedCommitIsCertain.

--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -62,11 +62,11 @@
 	claim Revision
 
 	mu sync.Mutex
-	// leaving are the upstreams announced as leaving, departedAt is when a replica had ended last by then.
-	// answers are the replies since then.
-	leaving    []UpstreamProcess
-	departedAt entity.Time
-	answers    map[entity.VM]gatewayAnswer
+	// leaving are the upstreams announced as leaving, changedAt is when the members had changed last by
+	// then. answers are the replies since then.
+	leaving   []UpstreamProcess
+	changedAt entity.Time
+	answers   map[entity.VM]gatewayAnswer
 	// reported is the newest commit of all replies. primaries are the primaries that answered other proxies
 	// calls sent at the given times. departed is set if a proxy remembers that a replica has ended.
 	reported  reportedCommit
@@ -90,15 +90,15 @@
 	return &announcer{db: d, claim: claim, answers: map[entity.VM]gatewayAnswer{}, primaries: map[entity.Upstream]entity.Time{}, round: done}
 }
 
-// announce asks the gateways that have not answered since a replica last began to leave or ended. It does
-// not wait for them.
+// announce asks the gateways that have not answered since the members last changed. It does not wait for
+// them.
 func (a *announcer) announce() {
 	a.db.mu.Lock()
-	gateways, leaving, departedAt := a.db.gateways, a.db.leavingProcesses(), a.db.departedAt
+	gateways, leaving, changedAt := a.db.gateways, a.db.leavingProcesses(), a.db.replicasChangedAt()
 	a.db.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := a.isOutdated(leaving, departedAt)
+	changed := a.isOutdated(leaving, changedAt)
 	select {
 	case <-a.round:
 	default:
@@ -107,7 +107,7 @@
 		}
 	}
 	if changed {
-		a.leaving, a.departedAt, a.answers = leaving, departedAt, map[entity.VM]gatewayAnswer{}
+		a.leaving, a.changedAt, a.answers = leaving, changedAt, map[entity.VM]gatewayAnswer{}
 	}
 	at := now()
 	// An announcement ends at its receivers.
@@ -127,7 +127,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	var asked sync.WaitGroup
 	for _, g := range gateways {
-		asked.Go(func() { a.ask(ctx, g, message, departedAt) })
+		asked.Go(func() { a.ask(ctx, g, message, changedAt) })
 	}
 	go func() {
 		asked.Wait()
@@ -136,10 +136,10 @@
 	}()
 }
 
-// isOutdated reports whether answers may have counted a replica as evidence that leaves or has ended
-// since. The mutex is held.
-func (a *announcer) isOutdated(leaving []UpstreamProcess, departedAt entity.Time) bool {
-	return !slices.Equal(leaving, a.leaving) || departedAt != a.departedAt
+// isOutdated reports whether the members have changed since the answers: a proxy may have counted one as
+// evidence that does not stay any more. The mutex is held.
+func (a *announcer) isOutdated(leaving []UpstreamProcess, changedAt entity.Time) bool {
+	return !slices.Equal(leaving, a.leaving) || changedAt != a.changedAt
 }
 
 // isOther reports whether a gateway is another proxy that can be asked.
@@ -148,8 +148,8 @@
 	return p.options.Peers != nil && g.VM != p.self().VM && g.StatusAddress != ""
 }
 
-// ask announces the takeover to a gateway. departedAt is when a replica had ended last by then.
-func (a *announcer) ask(ctx context.Context, g gateway.Proxy, message Announcement, departedAt entity.Time) {
+// ask announces the takeover to a gateway. changedAt is when the members had changed last by then.
+func (a *announcer) ask(ctx context.Context, g gateway.Proxy, message Announcement, changedAt entity.Time) {
 	asked := now()
 	reply, err := a.db.proxy.options.Peers.Announce(ctx, g.StatusAddress, message)
 	if err != nil {
@@ -168,7 +168,7 @@
 		answer.reports = !reply.Reported.IsZero()
 		a.reported = a.reported.newer(reportedCommit{*reply.Reported, asked.Add(-time.Duration(reply.ReportedMS) * time.Millisecond)})
 	}
-	if !a.isOutdated(message.Leaving, departedAt) {
+	if !a.isOutdated(message.Leaving, changedAt) {
 		a.answers[g.VM] = answer
 	}
 }
@@ -201,7 +201,7 @@
 	defer a.mu.Unlock()
 	d := a.db
 	newest := d.reported.newer(a.reported)
-	complete = d.proxy.fleetKnown.Load() && !a.isOutdated(d.leavingProcesses(), d.departedAt) &&
+	complete = d.proxy.fleetKnown.Load() && !a.isOutdated(d.leavingProcesses(), d.replicasChangedAt()) &&
 		(d.gatewayLostAt == 0 || d.gatewayLostAt < newest.sent) &&
 		(!d.reported.position.IsZero() || d.recordedSince < newest.sent)
 	for _, g := range d.gateways {
@@ -271,6 +271,7 @@
 	if claim.before(d.claimRemovedAt) || claim.before(d.announced) {
 		return reply
 	}
+	d.announcedLeaving = a.Leaving
 	if d.announced != claim {
 		d.proxy.events.takeoverAnnounced(d.name, claim, reported)
 	}
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -85,6 +85,8 @@
 	// last revision at which the store was seen without a claim.
 	announced, claimRemovedAt Revision
 	announcedUntil            entity.Time
+	// announcedLeaving are the upstreams announced as leaving with it.
+	announcedLeaving []UpstreamProcess
 	// takeoverChangedAt is when what is known of claims and open orders last changed.
 	takeoverChangedAt entity.Time
 	// ownClaim is the claim that this proxy holds, nil if it holds none.
--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -92,7 +92,7 @@
 	case listed:
 		departing = append(departing, missing...)
 	case len(missing) == 0:
-		return nil
+		return d.departingForHolder(departing)
 	}
 	for name, removed := range d.lostReplicas {
 		if at.Sub(removed) <= lossMemory {
@@ -107,3 +107,23 @@
 	slices.Sort(departing)
 	return departing
 }
+
+// departingForHolder returns those of the leaving replicas of which the holder of an open takeover has
+// told, if it takes another one for one that stays, and may choose it. The mutex is held.
+func (d *database) departingForHolder(leaving []entity.Upstream) []entity.Upstream {
+	if d.announced == (Revision{}) || d.openClaim() != d.announced {
+		return nil
+	}
+	known := slices.DeleteFunc(slices.Clone(leaving), func(name entity.Upstream) bool {
+		return !slices.ContainsFunc(d.announcedLeaving, func(p UpstreamProcess) bool { return p.Name == name })
+	})
+	if len(known) == len(leaving) {
+		return nil
+	}
+	slices.Sort(known)
+	return known
+}
+
+// replicasChangedAt returns when a member was last added or removed, or a replica restarted. The mutex
+// is held.
+func (d *database) replicasChangedAt() entity.Time { return max(d.membersChangedAt, d.departedAt) }
--- a/internal/managed/reported_test.go
+++ b/internal/managed/reported_test.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// Guards against the word of a replica that leaves while the holder of a takeover takes another one,
+// which leaves as well, for one that stays.
+func TestHolderKnowsLessReplicasToLeave(t *testing.T) {
+	d := newDirectoryTest()
+	d.putMember(Member{Name: "a"}, 0, Revision{})
+	d.setPrimary(d.members["a"], 1, "test")
+	for _, name := range []entity.Upstream{"b", "c"} {
+		d.putMember(Member{Name: name, Leaving: true}, 0, Revision{})
+	}
+	c := &commit{primary: d.primary, sent: now()}
+	assert.Equal(t, len(d.departing(c, now())), 0)
+	d.applyAnnouncement(Announcement{Database: d.name, Epoch: 2, Claim: 15, Leaving: []UpstreamProcess{{Name: "b"}}})
+	assert.DeepEqual(t, d.departing(c, now()), []entity.Upstream{"b"})
+}
+
 // Guards against a takeover that takes the commits that it knows for all that were reported, and against
 // one that never does because a proxy has restarted.
 func TestNewestReportedCommitIsCertain(t *testing.T) {
@@ -80,14 +95,17 @@
 			func(d *database) { d.members["b"] = &member{name: "b", leavingSince: now()} }, false},
 		{"a replica has ended since", reportedCommit{}, []AnnouncementReply{answer(6, lately), answer(7, lately)},
 			func(d *database) { d.departedAt = now() }, false},
+		{"a replica has joined since", reportedCommit{}, []AnnouncementReply{answer(6, lately), answer(7, lately)},
+			func(d *database) { d.membersChangedAt = now() }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDirectoryTest()
 			others := []gateway.Proxy{{VM: "x", StatusAddress: "x"}, {VM: "y", StatusAddress: "y"}}
 			d.proxy.options.Peers = &answeringPeers{answers: c.answers}
 			a := newAnnouncer(d, Revision{2, 15})
+			a.changedAt = d.replicasChangedAt()
 			for i := range c.answers {
-				a.ask(t.Context(), others[i], Announcement{Database: d.name}, 0)
+				a.ask(t.Context(), others[i], Announcement{Database: d.name}, d.replicasChangedAt())
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
