--- a/internal/managed/upstreamseries_test.go
+++ b/internal/managed/upstreamseries_test.go
@@ -90,12 +90,23 @@
 	for _, m := range departing {
 		u.end(m, crashes, heal)
 	}
-	// Longer than a takeover waits for a replica that was lost.
-	u.pause([]time.Duration{time.Second, 3 * time.Second, 6 * time.Second, 18 * time.Second}[u.draws.IntN(4)])
+	u.pause(2 * time.Second)
+	if u.draws.IntN(4) > 0 {
+		u.hold(crashes)
+	}
 	heal()
 	u.settle()
 }
 
+// hold keeps the cuts for longer than a takeover waits for an upstream that has ended.
+func (u *upstreamSeries) hold(crashed bool) {
+	d := cutTime
+	if crashed {
+		d = lossCutTime
+	}
+	time.Sleep(min(d, time.Until(u.stopAt)))
+}
+
 // join puts one or two upstreams into use. It returns as many that are to end, one of them a replica.
 func (u *upstreamSeries) join() []*standin.Member {
 	count := 1 + u.draws.IntN(2)
