--- a/internal/managed/directory_test.go
+++ b/internal/managed/directory_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkhinge.dev/skylarkhinge/core/entity"
 )
 
 // newDirectoryTest returns a database of a proxy whose store was restored just now.
@@ -15,6 +17,13 @@
 	return p.databaseLocked("shop")
 }
 
+// lead makes a member the believed primary of term 1.
+func lead(d *database, name entity.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setPrimary(d.members[name], 1, "test")
+}
+
 // Guards against new work for an upstream that leaves, after a restored store has shown an
 // earlier entry of it.
 func TestLeavingUpstreamStaysSoAfterARestore(t *testing.T) {
--- a/internal/managed/orders_test.go
+++ b/internal/managed/orders_test.go
@@ -143,7 +143,7 @@
 	for _, name := range []entity.Upstream{"a", "b"} {
 		d.putMember(Member{Name: name, Slots: 5}, 0, Revision{2, 1})
 	}
-	d.setPrimary(d.members["a"], 1, "test")
+	lead(d, "a")
 	// Neither answers this proxy.
 	for _, m := range d.members {
 		m.statusCall = &statusCall{done: make(chan struct{})}
@@ -165,10 +165,10 @@
 	for _, name := range []entity.Upstream{"a", "b"} {
 		d.putMember(Member{Name: name, Slots: 5}, 0, Revision{2, 1})
 	}
-	d.setPrimary(d.members["a"], 1, "test")
+	lead(d, "a")
 	d.applyOrders([]byte(`{"epoch":2,"claim":4,"targets":[],"concluded":true}`), Revision{2, 5}, false)
 	c := newCommit(d.members["a"], entity.Position{Term: 1, Offset: 7}, now())
 	d.applyOrders([]byte(`{"epoch":2,"claim":9,"targets":[],"concluded":true}`), Revision{2, 10}, false)
-	evidence := d.commitEvidence(&c)
+	evidence, _ := d.tryReport(&c, nil, nil)
 	assert.Assert(t, evidence.Replaced)
 }
--- a/internal/managed/reported_test.go
+++ b/internal/managed/reported_test.go
@@ -11,6 +11,13 @@
 	"skylarkhinge.dev/skylarkhinge/core/gateway"
 )
 
+// departingNow returns the replicas that depart for a commit of the believed primary that is sent now.
+func departingNow(d *database) []entity.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.departing(&commit{primary: d.primary, sent: now()}, now())
+}
+
 // Guards against replicas whose word counts although they take their log with them, and against
 // commits that cannot be reported because nothing else is left.
 func TestDepartingReplicas(t *testing.T) {
@@ -34,20 +41,22 @@
 		t.Run(c.name, func(t *testing.T) {
 			d := newDirectoryTest()
 			d.putMember(Member{Name: "a"}, 0, Revision{})
-			d.setPrimary(d.members["a"], 1, "test")
+			lead(d, "a")
 			for name, state := range c.states {
 				d.putMember(Member{Name: name, Leaving: state == leaving}, 0, Revision{})
 				if state == missing {
 					d.removeMember(name)
 				}
 			}
+			d.mu.Lock()
 			if c.lost {
 				recordEnd(d.lostReplicas, now(), "z")
 			}
 			if c.ended {
 				recordEnd(d.ended, now(), "z")
 			}
-			assert.DeepEqual(t, d.departing(&commit{primary: d.primary, sent: now()}, now()), c.want)
+			d.mu.Unlock()
+			assert.DeepEqual(t, departingNow(d), c.want)
 		})
 	}
 }
@@ -57,14 +66,13 @@
 func TestHolderKnowsLessReplicasToLeave(t *testing.T) {
 	d := newDirectoryTest()
 	d.putMember(Member{Name: "a"}, 0, Revision{})
-	d.setPrimary(d.members["a"], 1, "test")
+	lead(d, "a")
 	for _, name := range []entity.Upstream{"b", "c"} {
 		d.putMember(Member{Name: name, Leaving: true}, 0, Revision{})
 	}
-	c := &commit{primary: d.primary, sent: now()}
-	assert.Equal(t, len(d.departing(c, now())), 0)
+	assert.Equal(t, len(departingNow(d)), 0)
 	d.applyAnnouncement(Announcement{Database: d.name, Epoch: 2, Claim: 15, Leaving: []UpstreamProcess{{Name: "b"}}})
-	assert.DeepEqual(t, d.departing(c, now()), []entity.Upstream{"b"})
+	assert.DeepEqual(t, departingNow(d), []entity.Upstream{"b"})
 }
 
 // Guards against a takeover that takes the commits that it knows for all that were reported, and against
