A replaced primary that leaves does not count as a replica that stays

Found by a model of departures: after the switchover away from a primary that leaves, a commit that it had acknowledged was reported because the new primary and the old one held it; the old one ended as announced. Cause: the primary that acknowledged a commit was skipped when the replicas that depart were listed, also once another one led. Result: TestReplacedPrimaryDeparts fails without the change and passes with it.

--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -73,13 +73,17 @@
 
 // departing returns the replicas that the primary may have counted when it acknowledged a commit, but a
 // takeover may not: they leave, are not listed any more, or were lost and may be running. It is empty if
-// no other replica stays, besides the primary of the commit. The result is sorted. The mutex is held.
+// no other replica stays. The result is sorted. The mutex is held.
 func (d *database) departing(c *commit, at entity.Time) []entity.Upstream {
+	primary := d.primary
+	if primary == nil {
+		primary = c.primary
+	}
 	var departing, missing []entity.Upstream
 	listed := false
 	for _, m := range d.members {
 		switch {
-		case m == d.primary || m == c.primary:
+		case m == primary:
 		case m.leavingSince != 0:
 			departing = append(departing, m.name)
 		case m.missingSince != 0:
--- a/internal/managed/reported_test.go
+++ b/internal/managed/reported_test.go
@@ -142,3 +142,15 @@
 	p.answers = p.answers[1:]
 	return answer, nil
 }
+
+// Guards against the word of a replaced primary that leaves.
+func TestReplacedPrimaryDeparts(t *testing.T) {
+	d := newDirectoryTest()
+	for _, name := range []entity.Upstream{"a", "b", "c"} {
+		d.putMember(Member{Name: name, Leaving: name == "a"}, 0, Revision{})
+	}
+	lead(d, "b")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	assert.DeepEqual(t, d.departing(&commit{primary: d.members["a"], sent: now()}, now()), []entity.Upstream{"a"})
+}
