The end of a primary counts as a departure

Found by a model of departures: a primary that ended was removed while it was still believed to lead, so that nobody remembered that its successor is the only holder of what both had. With reports that were not certain, a replica without those commits was promoted while the successor answered. Change: the removal of any member is remembered. No test of its own.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -42,7 +42,7 @@
 	// ended are the replicas that were removed after they had announced their shutdown, with the time of
 	// their removal.
 	ended map[entity.Upstream]entity.Time
-	// departedAt is when a replica was last found to have ended, as announced or not, or to have
+	// departedAt is when a member was last found to have ended, as announced or not, or a replica to have
 	// restarted, 0 if none was.
 	departedAt entity.Time
 	// lastStatementAt is when this proxy last queued a statement for the upstreams itself.
--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -34,16 +34,13 @@
 			continue
 		}
 		m.removed = true
+		d.departedAt = at
 		switch {
 		case m == d.primary:
 		case m.leavingSince != 0:
 			recordEnd(d.ended, at, name)
-			d.departedAt = at
-		default:
-			if !m.entry.Primary {
-				recordEnd(d.lostReplicas, at, name)
-			}
-			d.departedAt = at
+		case !m.entry.Primary:
+			recordEnd(d.lostReplicas, at, name)
 		}
 		for _, conn := range m.idleConns {
 			d.dropConnLocked(conn)
