A gateway has recorded what it reports since its process began

TestPrimaryThatDoesNotReplicateIsReplaced failed once beside load: a stalled primary was not replaced within 10 s. A proxy that had heard of the database only after another one's first report counted as one that may have forgotten an earlier report, so that the newest one was not certain and the holder waited for the primary. Change: the time counts from the start of the process, before which it reported nothing.

--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -150,7 +150,7 @@
 		lostReplicas:    map[entity.Upstream]entity.Time{},
 		ended:           map[entity.Upstream]entity.Time{},
 		connectionShare: 1,
-		recordedSince:   now(),
+		recordedSince:   p.createdAt,
 	}
 	d.timer = time.AfterFunc(time.Hour, d.expireWaiting)
 	d.monitor = newMonitor(d)
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -55,6 +55,8 @@
 	currentDocument   atomic.Pointer[Document]
 	confirmation      configurationConfirmation
 	suspectedGateways suspectedGateways
+	// createdAt is when this process began: it has reported no commit before.
+	createdAt entity.Time
 	// watchLog holds the store changes that this proxy serves to other proxies.
 	watchLog *watchLog
 	// configured is closed when the first configuration takes effect.
@@ -110,6 +112,7 @@
 	store := &countedStore{Store: options.Store}
 	options.Store = store
 	p := &Proxy{
+		createdAt:        now(),
 		options:          options,
 		store:            store,
 		events:           newEvents(options.Log, options.Settings.VM),
