The drain timeout of an upstream counts from when its leaving may have been announced

Requests reached an upstream later than its drain timeout (DRAIN): from proxies that started after it had announced its shutdown, and from proxies that had lost the store meanwhile. Cause: the timeout counted from the moment at which the proxy heard of it. TestLeavingUpstreamOfWhichAProxyHearsLate fails without the change.

--- a/internal/managed/directory.go
+++ b/internal/managed/directory.go
@@ -141,12 +141,21 @@
 	d.armTimer(at)
 }
 
+// leavingSince returns the earliest time at which an upstream may have announced its shutdown of which
+// this proxy hears now: when it last knew the state of the store.
+func (p *Proxy) leavingSince(at entity.Time) entity.Time {
+	if unseen := entity.Time(p.unseenSince.Load()); unseen != 0 {
+		return min(at, unseen)
+	}
+	return at
+}
+
 // setLeaving records that a member has announced its shutdown. The mutex is held.
 func (d *database) setLeaving(m *member, at entity.Time) {
 	if m.leavingSince != 0 {
 		return
 	}
-	m.leavingSince = at
+	m.leavingSince = d.proxy.leavingSince(at)
 	if m == d.primary {
 		return
 	}
--- a/internal/managed/directory_test.go
+++ b/internal/managed/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -52,3 +53,30 @@
 	d.putMember(earlier, 0, Revision{})
 	assert.Equal(t, d.members["a"].entry, earlier)
 }
+
+// Guards against new work for an upstream beyond its drain timeout, by a proxy that hears late that it
+// leaves.
+func TestLeavingUpstreamOfWhichAProxyHearsLate(t *testing.T) {
+	p := newTestProxy(nil)
+	p.storeEpoch.Store(&epochStart{epoch: 2, at: now(), restored: true})
+	s := newStoreSync(p)
+	leaves := func(name entity.Upstream) (since entity.Time, ago time.Duration) {
+		s.apply([]Change{{MemberName: name, Member: &Member{Name: name, Database: "shop", Leaving: true}}}, 2)
+		d := p.database("shop")
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		since = d.members[name].leavingSince
+		return since, now().Sub(since)
+	}
+	grace := p.settings().LeavingGrace
+	_, ago := leaves("a")
+	assert.Assert(t, ago >= grace, "the proxy has just started")
+	s.mustList = false
+	_, ago = leaves("b")
+	assert.Assert(t, ago < grace/2, "the proxy follows the store")
+	answered := s.answeredAt
+	time.Sleep(5 * time.Millisecond)
+	s.lostSince = time.Now()
+	since, _ := leaves("c")
+	assert.Equal(t, since, answered, "the proxy had lost the store")
+}
--- a/internal/managed/proxy.go
+++ b/internal/managed/proxy.go
@@ -71,6 +71,9 @@
 	// appliedRevision is the revision of the store up to which all changes are applied, nil
 	// before the first listing.
 	appliedRevision atomic.Pointer[Revision]
+	// unseenSince is since when changes of the store were not seen, while those of the first answer after
+	// that are applied, else 0.
+	unseenSince atomic.Int64
 	// storeLost is set while the store does not answer.
 	storeLost atomic.Bool
 	// renewalFails is set while the renewal of the proxy's lease fails. The store gets no other calls
--- a/internal/managed/sync.go
+++ b/internal/managed/sync.go
@@ -130,6 +130,8 @@
 	source gateway.WatchSource
 	// startedAt is when the first listing was complete.
 	startedAt entity.Time
+	// answeredAt is when the state of the store was last known: when the last answer arrived.
+	answeredAt entity.Time
 	// endedByChange is set if the last watch of the store ended with a change. The watches of
 	// all proxies end then, and the next wait is randomised so that they do not stay in step:
 	// if the store fails, one of them has confirmed the configuration shortly before.
@@ -206,6 +208,18 @@
 	return nil
 }
 
+// unseenSince returns since when changes may not have been seen that an answer shows, 0 if they are new.
+func (s *storeSync) unseenSince() entity.Time {
+	switch {
+	case s.answeredAt == 0:
+		// An upstream may have left for any time before this proxy started.
+		return now().Add(-s.proxy.settings().LeavingGrace)
+	case s.lostSince.IsZero() && !s.mustList:
+		return 0
+	}
+	return s.answeredAt
+}
+
 // applyUpdate applies an update and confirms the configuration with it. Without the
 // configuration that the update announces, its changes will be read again, from another source.
 func (s *storeSync) applyUpdate(ctx context.Context, u *update) {
@@ -310,7 +324,10 @@
 // apply applies changes of the given epoch.
 func (s *storeSync) apply(changes []Change, epoch uint64) {
 	p := s.proxy
+	p.unseenSince.Store(int64(s.unseenSince()))
+	defer p.unseenSince.Store(0)
 	defer func() {
+		s.answeredAt = now()
 		if s.ownRevision.Load() != 0 {
 			p.setFleetKnown()
 		}
