Answers about reported commits are void once another primary leads

Found by a model of departures (2 of about 350,000 games): an order took effect within a takeover that went on, and an answer from before it was taken for certain. Change: the gateways are asked again after a promotion that the holder has seen. No test of its own but the model.

--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -125,6 +125,8 @@
 	return known
 }
 
-// replicasChangedAt returns when a member was last added or removed, or a replica restarted. The mutex
-// is held.
-func (d *database) replicasChangedAt() entity.Time { return max(d.membersChangedAt, d.departedAt) }
+// replicasChangedAt returns when a member was last added or removed, a replica restarted or another
+// primary led. The mutex is held.
+func (d *database) replicasChangedAt() entity.Time {
+	return max(d.membersChangedAt, d.departedAt, d.lastPromotionAt)
+}
