A takeover does not wait for commits that no caller was told of

Change: a gateway also tells a position that its commit has at least, which follows the replies before it was sent. The holder waits only if all replicas lack that. A proxy that has just started assumes unknown departures only if what was reported is not certain.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -85,12 +85,13 @@
 	// the healthy leader's log in a report that came after the last change of the members and of
 	// their pauses, else the most advanced log that this takeover has seen at a replica.
 	Required entity.Position
-	// Reported is the newest commit known to have been reported to a caller. ReportsComplete is set if
-	// all gateways told theirs, and know which members leave. BehindFor is the time for which the leader
-	// has been lost and all replicas have lacked Reported.
-	Reported        entity.Position
-	ReportsComplete bool
-	BehindFor       time.Duration
+	// Reported is the end of the log when the newest commit known to have been reported to a caller was
+	// acknowledged; the commit has at least the position ReportedAtLeast. ReportsComplete is set if no
+	// later one was reported. BehindFor is the time for which the leader has been lost and all replicas
+	// have lacked ReportedAtLeast.
+	Reported, ReportedAtLeast entity.Position
+	ReportsComplete           bool
+	BehindFor                 time.Duration
 	// Departed is set if a replica that may have received commits ended recently, as announced or not.
 	Departed bool
 	// Members are all upstreams that are listed or were until recently.
@@ -176,8 +177,9 @@
 		// What only those that leave hold is in doubt.
 		replicas = slices.DeleteFunc(replicas, func(m *Member) bool { return m.Leaving && !m.Reached })
 	}
-	if target := orderedSuccessor(&v, replicas); target != nil {
-		// Its order may take effect at any time, so there is nothing to wait for.
+	if target := orderedSuccessor(&v, replicas); target != nil && (v.LeaderHealthy || !target.Received.Less(v.ReportedAtLeast)) {
+		// Its order may take effect at any time, so there is nothing to wait for, unless its order was
+		// perhaps never sent and others hold commits that were reported.
 		replicas = slices.DeleteFunc(replicas, func(m *Member) bool { return !m.Reached })
 	} else if d, ok := decideWait(&v, replicas); ok {
 		return d
@@ -213,7 +215,7 @@
 		return Decision{Step: StepWait, Reason: "only the primary holds all reported commits"}, true
 	case behind && v.BehindFor < maxIncompleteWait:
 		return Decision{Step: StepWait, Reason: "reported commits are missing"}, true
-	case v.LeaderAnswers && v.ReportsComplete:
+	case v.LeaderAnswers && v.ReportsComplete && anyReceived(replicas, v.Reported):
 		return Decision{}, false
 	case v.LeaderAnswers && v.Departed && (v.LeaderReceived.IsZero() || !anyReceived(replicas, v.LeaderReceived)):
 		return Decision{Step: StepWait, Reason: "only the primary may hold the commits of a replica that has ended"}, true
@@ -434,8 +436,8 @@
 	return v.ReportsComplete && m.Reached && !m.Leaving && !m.Received.Less(v.Reported)
 }
 
-// Behind reports whether no replica is known to hold all commits that were reported to callers.
-func (v *View) Behind() bool { return !anyReceived(replicasOf(v), v.Reported) }
+// Behind reports whether all replicas that are known lack a commit that was reported to a caller.
+func (v *View) Behind() bool { return !anyReceived(replicasOf(v), v.ReportedAtLeast) }
 
 func anyReceived(replicas []*Member, position entity.Position) bool {
 	return slices.ContainsFunc(replicas, func(m *Member) bool { return !m.Received.Less(position) })
--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -45,8 +45,10 @@
 type AnnouncementReply struct {
 	// Reported is the newest commit that the proxy has reported to a caller, zero if there is none, nil
 	// if the proxy is of a version that does not record it. The commit was sent ReportedMS ago.
+	// It is known to have at least the position AtLeast.
 	Reported   *entity.Position `json:"reported,omitempty"`
 	ReportedMS int64            `json:"reported_ms,omitempty"`
+	AtLeast    entity.Position  `json:"at_least"`
 	// RecordedMS is the time in ms for which the proxy has recorded that.
 	RecordedMS int64 `json:"recorded_ms"`
 	// Departed is set if the proxy remembers that a replica has ended.
@@ -166,7 +168,7 @@
 	if reply.Reported != nil {
 		answer.recordedSince = now().Add(-time.Duration(reply.RecordedMS) * time.Millisecond)
 		answer.reports = !reply.Reported.IsZero()
-		a.reported = a.reported.newer(reportedCommit{*reply.Reported, asked.Add(-time.Duration(reply.ReportedMS) * time.Millisecond)})
+		a.reported = a.reported.newer(reportedCommit{*reply.Reported, reply.AtLeast, asked.Add(-time.Duration(reply.ReportedMS) * time.Millisecond)})
 	}
 	if !a.isOutdated(message.Leaving, changedAt) {
 		a.answers[g.VM] = answer
@@ -196,11 +198,11 @@
 // newestReported returns the newest commit known to have been reported to a caller. complete is set if no
 // later one was: all gateways have answered and know which upstreams leave, and what those that have
 // restarted or failed reported before is not newer. The database's mutex is held.
-func (a *announcer) newestReported() (reported entity.Position, complete bool) {
+func (a *announcer) newestReported() (newest reportedCommit, complete bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := a.db
-	newest := d.reported.newer(a.reported)
+	newest = d.reported.newer(a.reported)
 	complete = d.proxy.fleetKnown.Load() && !a.isOutdated(d.leavingProcesses(), d.replicasChangedAt()) &&
 		(d.gatewayLostAt == 0 || d.gatewayLostAt < newest.sent) &&
 		(!d.reported.position.IsZero() || d.recordedSince < newest.sent)
@@ -210,7 +212,7 @@
 			complete = complete && answer.known && (answer.reports || answer.recordedSince < newest.sent)
 		}
 	}
-	return newest.position, complete
+	return newest, complete
 }
 
 // replicaDeparted reports whether this proxy or another one remembers that a replica has ended. The
@@ -262,6 +264,7 @@
 	reported := d.reported.position
 	reply := AnnouncementReply{Reported: &reported, RecordedMS: at.Sub(d.recordedSince).Milliseconds(), Departed: d.replicaDeparted(at)}
 	if !reported.IsZero() {
+		reply.AtLeast = d.reported.atLeast
 		reply.ReportedMS = at.Sub(d.reported.sent).Milliseconds()
 	}
 	if d.primary != nil && d.primaryAnsweredAt != 0 {
--- a/internal/managed/database.go
+++ b/internal/managed/database.go
@@ -96,6 +96,7 @@
 	// reported is the newest commit whose caller this proxy has told of success, as recorded since
 	// recordedSince.
 	reported      reportedCommit
+	logEnds       logEnds
 	recordedSince entity.Time
 	// behindSince is when a takeover first found that the primary is lost and all replicas lack a
 	// reported commit, 0 if none does.
--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -16,14 +16,13 @@
 	// also expires if it loses the store.
 	endSlack = 10 * time.Second
 	// unknownDepartures is how long after its start a proxy assumes that replicas have ended which it
-	// does not know.
+	// does not know, if what was reported is not certain.
 	unknownDepartures = 12 * time.Second
 )
 
-// replicaDeparted reports whether a replica may have ended or restarted recently. The mutex is held.
+// replicaDeparted reports whether a replica has ended or restarted recently. The mutex is held.
 func (d *database) replicaDeparted(at entity.Time) bool {
-	// This proxy does not know what happened before it started.
-	return at.Sub(d.recordedSince) < unknownDepartures || d.departedAt != 0 && at.Sub(d.departedAt) <= lossMemory
+	return d.departedAt != 0 && at.Sub(d.departedAt) <= lossMemory
 }
 
 // removeExpiredMembers removes members whose entries have been missing for missingGrace.
--- a/internal/managed/departures_test.go
+++ b/internal/managed/departures_test.go
@@ -1,6 +1,7 @@
 package managed_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -101,3 +102,25 @@
 	waitFor(t, 2*time.Second+l.group.PromoteDelay, "a new primary", func() bool { return l.group.Primary() != old })
 	l.check(l.nodes, l.group.Members()[:groupSize]...)
 }
+
+// Guards against a takeover that waits for commits that no caller was told of: the reply to a commit may
+// cover others that no replica has received.
+func TestConcurrentCommitsDoNotDelayATakeover(t *testing.T) {
+	for name, trouble := range map[string]func(l *ledger, primary *standin.Member){
+		"crash":          func(_ *ledger, primary *standin.Member) { primary.Crash() },
+		"no replication": func(l *ledger, primary *standin.Member) { l.setOnlyReceiver(primary, nil, true) },
+	} {
+		for i := range 3 {
+			t.Run(fmt.Sprintf("%s-%d", name, i), func(t *testing.T) {
+				t.Parallel()
+				l := newWritingFleet(t, 3)
+				old := l.group.Primary()
+				// No takeover begins before the list of members has settled.
+				time.Sleep(4 * time.Second)
+				trouble(l, old)
+				waitFor(t, 5*time.Second, "a new primary", func() bool { return l.group.Primary() != old })
+				l.check(l.nodes)
+			})
+		}
+	}
+}
--- a/internal/managed/permit.go
+++ b/internal/managed/permit.go
@@ -160,6 +160,7 @@
 		return
 	}
 	d.behindSince = 0
+	d.logEnds.add(now(), position)
 	if m == d.primary {
 		d.primaryAnsweredAt = max(d.primaryAnsweredAt, sent)
 	}
--- a/internal/managed/takeover.go
+++ b/internal/managed/takeover.go
@@ -229,12 +229,12 @@
 	}
 	t.db.mu.Lock()
 	defer t.db.mu.Unlock()
-	reported, complete := t.announcer.newestReported()
+	newest, complete := t.announcer.newestReported()
 	if v.ReportsComplete && !complete {
 		return true
 	}
-	return v.Reported != reported && slices.ContainsFunc(v.Members, func(m takeover.Member) bool {
-		return m.Name == target && m.Received.Less(reported)
+	return v.Reported != newest.position && slices.ContainsFunc(v.Members, func(m takeover.Member) bool {
+		return m.Name == target && m.Received.Less(newest.position)
 	})
 }
 
@@ -358,8 +358,9 @@
 		v.ReplicaLost, v.LostFor = true, at.Sub(lost)
 	}
 	if v.Synchronous {
-		v.Reported, v.ReportsComplete = t.announcer.newestReported()
-		v.Departed = t.announcer.replicaDeparted(at)
+		newest, complete := t.announcer.newestReported()
+		v.Reported, v.ReportedAtLeast, v.ReportsComplete = newest.position, newest.atLeast, complete
+		v.Departed = t.announcer.replicaDeparted(at) || !complete && at.Sub(d.recordedSince) < unknownDepartures
 	}
 	if t.replaced != nil && !t.answers {
 		v.Members = append(v.Members, takeover.Member{Name: t.replaced.name})
