--- a/internal/managed/departures.go
+++ b/internal/managed/departures.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// lossMemory is how long it is remembered that a replica has ended, longer than a takeover without a primary
-	// waits for it.
+	// lossMemory is how long it is remembered that a replica has ended, longer than a takeover without a
+	// primary waits for it.
 	lossMemory = time.Minute
 	// endSlack is how long a replica that announced its shutdown may go on after its removal: its entry
 	// also expires if it loses the store.
