--- a/internal/managed/departures_test.go
+++ b/internal/managed/departures_test.go
@@ -96,7 +96,7 @@
 	// No takeover begins before the list of members has settled.
 	time.Sleep(4 * time.Second)
 	for _, n := range l.nodes {
-		n.announcesInVain.Store(true)
+		n.announcementsLost.Store(true)
 	}
 	old.SetLeaving(true)
 	waitFor(t, 2*time.Second+l.group.PromoteDelay, "a new primary", func() bool { return l.group.Primary() != old })
--- a/internal/managed/harness_test.go
+++ b/internal/managed/harness_test.go
@@ -92,9 +92,9 @@
 	ignorePeers atomic.Bool
 	// cut makes HTTP requests of the proxy to other proxies fail.
 	cut atomic.Bool
-	// announcesInVain makes announcements of the proxy remain without an answer.
-	announcesInVain atomic.Bool
-	done            chan error
+	// announcementsLost leaves announcements of the proxy without an answer.
+	announcementsLost atomic.Bool
+	done              chan error
 	// stop ends the proxy at once and closes its callers' connections.
 	stop      func()
 	recording bool
@@ -284,7 +284,7 @@
 	if p.node.cut.Load() {
 		return managed.AnnouncementReply{}, net.ErrClosed
 	}
-	if p.node.announcesInVain.Load() {
+	if p.node.announcementsLost.Load() {
 		<-ctx.Done()
 		return managed.AnnouncementReply{}, ctx.Err()
 	}
